--- /dev/null
+++ b/core/src/main/java/org/plantainknot/core/error/package-info.java
@@ -0,0 +1,2 @@
+/** Error codes, and findings that are collected with their place and reported together. */
+package org.plantainknot.core.error;
--- /dev/null
+++ b/core/src/main/java/org/plantainknot/core/fleet/Budgets.java
@@ -0,0 +1,34 @@
+package org.plantainknot.core.fleet;
+
+import java.util.Collection;
+import java.util.List;
+import java.util.Optional;
+
+/** Availability budgets: which VMs may leave without breaking one. */
+public final class Budgets {
+
+  private Budgets() {}
+
+  /** Returns the service whose budget would break if the VM left its pool, if there is one. */
+  public static Optional<Service> brokenBy(Fleet fleet, Vm leaving) {
+    List<Vm> remaining =
+        fleet.vmsIn(leaving.pool()).stream()
+            .filter(Vm::isAvailable)
+            .filter(vm -> !vm.name().equals(leaving.name()))
+            .toList();
+    return fleet.servicesOf(leaving.pool()).stream()
+        .filter(service -> !holds(service, remaining))
+        .findFirst();
+  }
+
+  /** Returns whether the available VMs meet the budget, also after one more domain is lost. */
+  public static boolean holds(Service service, Collection<Vm> available) {
+    List<Announcement> announcements = available.stream().map(Vm::announcement).toList();
+    return available.size() - service.spare().largest(announcements) >= service.minAvailableVms();
+  }
+
+  /** Returns the number of VMs available to a service. */
+  public static long available(Fleet fleet, Service service) {
+    return fleet.vmsIn(service.pool()).stream().filter(Vm::isAvailable).count();
+  }
+}
--- /dev/null
+++ b/core/src/main/java/org/plantainknot/core/fleet/package-info.java
@@ -0,0 +1,2 @@
+/** VMs, pools, services and availability budgets, as the replicated log has them. */
+package org.plantainknot.core.fleet;
--- /dev/null
+++ b/core/src/main/java/org/plantainknot/core/replica/ReplicaLog.java
@@ -0,0 +1,124 @@
+package org.plantainknot.core.replica;
+
+import java.util.ArrayList;
+import java.util.List;
+import org.plantainknot.core.replica.LogRecord.Appended;
+import org.plantainknot.core.replica.LogRecord.Installed;
+import org.plantainknot.core.replica.LogRecord.Truncated;
+
+/** Entries after the latest snapshot; each change is recorded for the disk. */
+final class ReplicaLog {
+
+  private Snapshot snapshot;
+  private final List<Entry> entries;
+  private final Outbox outbox;
+  private Membership membership;
+
+  ReplicaLog(Snapshot snapshot, List<Entry> entries, Outbox outbox) {
+    this.snapshot = snapshot;
+    this.entries = new ArrayList<>(entries);
+    this.outbox = outbox;
+    this.membership = membershipAt(lastIndex());
+  }
+
+  /** Returns the newest membership up to the end of the log, or null. */
+  Membership membership() {
+    return membership;
+  }
+
+  Snapshot snapshot() {
+    return snapshot;
+  }
+
+  long lastIndex() {
+    return snapshot.lastIndex() + entries.size();
+  }
+
+  long lastTerm() {
+    return termAt(lastIndex());
+  }
+
+  int size() {
+    return entries.size();
+  }
+
+  /** Returns the term at the index, or -1 where the log doesn't reach or was compacted. */
+  long termAt(long index) {
+    if (index == snapshot.lastIndex()) {
+      return snapshot.lastTerm();
+    }
+    return contains(index) ? entryAt(index).term() : -1;
+  }
+
+  boolean contains(long index) {
+    return index > snapshot.lastIndex() && index <= lastIndex();
+  }
+
+  Entry entryAt(long index) {
+    return entries.get(offset(index));
+  }
+
+  /** Returns the entries from an index on, up to a number of bytes but at least one. */
+  List<Entry> from(long index, int maxBytes) {
+    List<Entry> slice = new ArrayList<>();
+    int bytes = 0;
+    for (long i = index; i <= lastIndex(); i++) {
+      Entry entry = entryAt(i);
+      bytes += entry.sizeBytes();
+      if (!slice.isEmpty() && bytes > maxBytes) {
+        break;
+      }
+      slice.add(entry);
+    }
+    return slice;
+  }
+
+  List<Entry> between(long fromIndex, long toIndex) {
+    return List.copyOf(entries.subList(offset(fromIndex), offset(toIndex) + 1));
+  }
+
+  void append(Entry entry) {
+    if (entry.index() != lastIndex() + 1) {
+      throw new IllegalStateException("entry " + entry.index() + " does not follow " + lastIndex());
+    }
+    entries.add(entry);
+    outbox.record(new Appended(entry));
+    if (entry.membership() != null) {
+      membership = entry.membership();
+    }
+  }
+
+  void truncateFrom(long index) {
+    entries.subList(offset(index), entries.size()).clear();
+    outbox.record(new Truncated(index));
+    membership = membershipAt(lastIndex());
+  }
+
+  Snapshot compact(long index, byte[] data) {
+    Snapshot newer = new Snapshot(index, termAt(index), membershipAt(index), data);
+    entries.subList(0, offset(index) + 1).clear();
+    snapshot = newer;
+    return newer;
+  }
+
+  void install(Snapshot installed) {
+    entries.clear();
+    snapshot = installed;
+    membership = installed.membership();
+    outbox.record(new Installed(installed));
+  }
+
+  /** Returns the membership in force at an index, or null. */
+  Membership membershipAt(long index) {
+    for (long i = Math.min(index, lastIndex()); contains(i); i--) {
+      if (entryAt(i).membership() != null) {
+        return entryAt(i).membership();
+      }
+    }
+    return snapshot.membership();
+  }
+
+  private int offset(long index) {
+    return Math.toIntExact(index - snapshot.lastIndex() - 1);
+  }
+}
--- /dev/null
+++ b/core/src/main/java/org/plantainknot/core/rollout/WavePlanner.java
@@ -0,0 +1,73 @@
+package org.plantainknot.core.rollout;
+
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.List;
+import java.util.function.ToIntFunction;
+import org.plantainknot.core.fleet.Budgets;
+import org.plantainknot.core.fleet.Fleet;
+import org.plantainknot.core.fleet.Service;
+import org.plantainknot.core.fleet.Vm;
+
+/**
+ * Chooses the VMs that leave their pools next.
+ *
+ * <p>As many leave at a time as the budgets allow. Candidates of one failure domain go together,
+ * because each further domain with VMs missing would cost the budget more; among equals a VM with
+ * less work goes first.
+ */
+public final class WavePlanner {
+
+  private final Fleet fleet;
+  private final ToIntFunction<Vm> workOn;
+
+  /**
+   * Creates a planner.
+   *
+   * @param fleet the fleet
+   * @param workOn amount of work on a VM, which would have to be finished or moved
+   */
+  public WavePlanner(Fleet fleet, ToIntFunction<Vm> workOn) {
+    this.fleet = fleet;
+    this.workOn = workOn;
+  }
+
+  /** Returns the names of the VMs that can leave now, without any budget being broken. */
+  public List<String> next() {
+    List<String> leaving = new ArrayList<>();
+    fleet.pools().forEach(pool -> planPool(pool.name(), leaving));
+    return leaving;
+  }
+
+  private void planPool(String pool, List<String> leaving) {
+    List<Vm> members = fleet.vmsIn(pool);
+    List<Vm> available = new ArrayList<>(members.stream().filter(Vm::isAvailable).toList());
+    List<Vm> candidates =
+        new ArrayList<>(
+            members.stream()
+                .filter(Vm::isChangePending)
+                .filter(m -> m.phase().isServing())
+                .toList());
+    candidates.sort(byDomainThenWork());
+    List<Service> services = fleet.servicesOf(pool);
+    for (Vm candidate : candidates) {
+      List<Vm> remaining = available.stream().filter(vm -> vm != candidate).toList();
+      if (services.stream().allMatch(service -> Budgets.holds(service, remaining))) {
+        available.remove(candidate);
+        leaving.add(candidate.name());
+      }
+    }
+  }
+
+  private Comparator<Vm> byDomainThenWork() {
+    return Comparator.comparing(WavePlanner::domainOf)
+        .thenComparingInt(workOn)
+        .thenComparing(Vm::name);
+  }
+
+  private static String domainOf(Vm vm) {
+    return vm.announcement() == null
+        ? ""
+        : vm.announcement().dataCenter() + "/" + vm.announcement().rack();
+  }
+}
