--- a/core/src/main/java/org/plantainknot/core/admission/Refusal.java
+++ b/core/src/main/java/org/plantainknot/core/admission/Refusal.java
@@ -8,6 +8,8 @@
   TOO_LATE("the deadline can't be met"),
   /** No target can serve the request. */
   NO_TARGET("no target is available"),
+  /** A target has failed the request, and it may not be tried again. */
+  NO_RETRY("no further attempt is allowed"),
   /** This gateway may not give out work at the moment. */
   NO_LEASE("this gateway holds no lease"),
   /** This gateway is stopping. */
--- a/core/src/main/java/org/plantainknot/core/claim/ClaimOutcome.java
+++ b/core/src/main/java/org/plantainknot/core/claim/ClaimOutcome.java
@@ -6,7 +6,7 @@
   OPEN,
   /** The target answered. */
   ANSWERED,
-  /** Nothing was sent to a target; the claim is free again. */
+  /** Nothing was sent to a target; another attempt may claim the request. */
   NOT_RUN,
   /** A target may have run it; it will never be run again. */
   MAY_HAVE_RUN
--- a/core/src/main/java/org/plantainknot/core/claim/ClaimTable.java
+++ b/core/src/main/java/org/plantainknot/core/claim/ClaimTable.java
@@ -50,10 +50,10 @@
       return ClaimVerdict.TOO_OLD;
     }
     Claim present = claims.get(wanted.key());
-    if (present != null) {
+    if (present != null && !isFree(present, wanted)) {
       return verdictOn(present, wanted, isGatewayAlive);
     }
-    if (claims.size() >= limits.maxClaims()) {
+    if (present == null && claims.size() >= limits.maxClaims()) {
       return ClaimVerdict.FULL;
     }
     claims.put(wanted.key(), wanted);
@@ -77,9 +77,7 @@
     if (!open) {
       return;
     }
-    if (outcome == ClaimOutcome.NOT_RUN) {
-      claims.remove(key);
-    } else if (outcome == ClaimOutcome.ANSWERED && !canStore(answer)) {
+    if (outcome == ClaimOutcome.ANSWERED && !canStore(answer)) {
       claims.put(key, present.closed(ClaimOutcome.MAY_HAVE_RUN, null));
     } else {
       claims.put(key, present.closed(outcome, answer));
@@ -104,6 +102,11 @@
     }
   }
 
+  /** An attempt that has ended without a dispatch leaves the request free for other attempts. */
+  private static boolean isFree(Claim present, Claim wanted) {
+    return present.outcome() == ClaimOutcome.NOT_RUN && !present.attempt().equals(wanted.attempt());
+  }
+
   private static ClaimVerdict verdictOn(
       Claim present, Claim wanted, Predicate<String> isGatewayAlive) {
     if (!present.contentHash().equals(wanted.contentHash())) {
@@ -112,6 +115,7 @@
     return switch (present.outcome()) {
       case ANSWERED -> ClaimVerdict.ANSWERED;
       case OPEN -> verdictOnOpen(present, wanted, isGatewayAlive);
+      case NOT_RUN -> ClaimVerdict.ENDED;
       default -> ClaimVerdict.MAY_HAVE_RUN;
     };
   }
--- a/core/src/main/java/org/plantainknot/core/claim/ClaimVerdict.java
+++ b/core/src/main/java/org/plantainknot/core/claim/ClaimVerdict.java
@@ -10,6 +10,8 @@
   ANSWERED,
   /** The request may have run and will not be run again. */
   MAY_HAVE_RUN,
+  /** The same attempt has already ended, without a dispatch. */
+  ENDED,
   /** The request is older than the window in which claims are kept. */
   TOO_OLD,
   /** No more claims can be kept. */
--- a/core/src/main/java/org/plantainknot/core/replica/Replica.java
+++ b/core/src/main/java/org/plantainknot/core/replica/Replica.java
@@ -177,16 +177,16 @@
     return outbox.drain();
   }
 
-  /** Returns the index from which a host that has lost its state starts to apply. */
-  public Snapshot snapshot() {
-    return log.snapshot();
-  }
-
   /** Returns the number of entries after the snapshot. */
   public int logSize() {
     return log.size();
   }
 
+  /** Returns the entries after the snapshot. */
+  public List<Entry> entries() {
+    return log.from(log.snapshot().lastIndex() + 1, Integer.MAX_VALUE);
+  }
+
   /** Returns a view of the member for reports. */
   public ReplicaStatus status() {
     return new ReplicaStatus(
--- /dev/null
+++ b/ctl/src/main/java/org/plantainknot/ctl/CtlOptions.java
@@ -0,0 +1,79 @@
+package org.plantainknot.ctl;
+
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.List;
+import java.util.Optional;
+import org.kohsuke.args4j.Argument;
+import org.kohsuke.args4j.Option;
+import org.plantainknot.daemon.settings.HostPort;
+
+/** Command line of the tool. */
+final class CtlOptions {
+
+  private static final String ENTRIES_VARIABLE = "PLANTAINKNOT_ENTRIES";
+  private static final String TOKEN_VARIABLE = "PLANTAINKNOT_TOKEN";
+
+  @Option(
+      name = "--entries",
+      metaVar = "HOST:PORT,...",
+      usage = "operator addresses of the entry VMs (default: $" + ENTRIES_VARIABLE + ")")
+  private String entries;
+
+  @Option(
+      name = "--token-env",
+      metaVar = "NAME",
+      usage = "environment variable that holds the token")
+  private String tokenVariable = TOKEN_VARIABLE;
+
+  @Option(name = "--json", usage = "print JSON")
+  private boolean json;
+
+  @Option(name = "--help", help = true, usage = "print this help")
+  private boolean help;
+
+  @Argument(index = 0, metaVar = "COMMAND", usage = "what to do")
+  private String command;
+
+  @Argument(index = 1, metaVar = "ARGUMENT", usage = "what to do it with")
+  private List<String> arguments = new ArrayList<>();
+
+  boolean json() {
+    return json;
+  }
+
+  boolean help() {
+    return help || command == null;
+  }
+
+  String command() {
+    return command;
+  }
+
+  List<String> arguments() {
+    return arguments;
+  }
+
+  List<HostPort> entryAddresses() {
+    String given = entries == null ? System.getenv(ENTRIES_VARIABLE) : entries;
+    if (given == null) {
+      throw new CtlException(
+          ExitCode.USAGE, "name the entry VMs with --entries or $" + ENTRIES_VARIABLE);
+    }
+    return Arrays.stream(given.split(",")).map(CtlOptions::address).toList();
+  }
+
+  String token() {
+    return Optional.ofNullable(System.getenv(tokenVariable))
+        .orElseThrow(
+            () -> new CtlException(ExitCode.USAGE, "put your token into $" + tokenVariable));
+  }
+
+  private static HostPort address(String text) {
+    return HostPort.parse(text.trim())
+        .orElseThrow(
+            () ->
+                new CtlException(
+                    ExitCode.USAGE, "'" + text + "' is not an IP number, a colon and a port"));
+  }
+}
--- /dev/null
+++ b/ctl/src/main/java/org/plantainknot/ctl/package-info.java
@@ -0,0 +1,2 @@
+/** Command line of the operators, over their HTTP interface. */
+package org.plantainknot.ctl;
--- /dev/null
+++ b/daemon/src/main/java/org/plantainknot/daemon/PlantainknotDaemon.java
@@ -0,0 +1,84 @@
+package org.plantainknot.daemon;
+
+import com.google.common.flogger.FluentLogger;
+import java.io.IOException;
+import java.io.InputStream;
+import java.io.UncheckedIOException;
+import java.util.logging.LogManager;
+import org.kohsuke.args4j.CmdLineException;
+import org.kohsuke.args4j.CmdLineParser;
+import org.plantainknot.core.error.PlantainknotException;
+import org.plantainknot.daemon.settings.DaemonSettings;
+import org.plantainknot.daemon.settings.SettingsReader;
+
+/** Entry point of {@code plantainknotd}. */
+public final class PlantainknotDaemon {
+
+  private static final FluentLogger logger = FluentLogger.forEnclosingClass();
+  private static final int EXIT_USAGE = 2;
+  private static final int EXIT_FAILED = 3;
+
+  private PlantainknotDaemon() {}
+
+  /** Starts the daemon. */
+  public static void main(String[] args) {
+    DaemonOptions options = new DaemonOptions();
+    CmdLineParser parser = new CmdLineParser(options);
+    try {
+      parser.parseArgument(args);
+      if (options.help()) {
+        parser.printUsage(System.out);
+        return;
+      }
+      run(options);
+    } catch (CmdLineException e) {
+      System.err.println(e.getMessage());
+      parser.printUsage(System.err);
+      System.exit(EXIT_USAGE);
+    }
+  }
+
+  private static void run(DaemonOptions options) {
+    DaemonSettings settings;
+    try {
+      settings = SettingsReader.read(options.settings());
+    } catch (PlantainknotException e) {
+      System.err.println(e.code().code() + " " + options.settings() + " can't be used");
+      e.findings().forEach(System.err::println);
+      if (e.findings().isEmpty()) {
+        System.err.println(e.getMessage());
+      }
+      System.exit(EXIT_USAGE);
+      return;
+    }
+    if (options.check()) {
+      System.out.println("settings are valid");
+      return;
+    }
+    start(settings);
+  }
+
+  private static void start(DaemonSettings settings) {
+    configureLogs();
+    try {
+      Daemon daemon = new Daemon(settings);
+      daemon.start();
+      Runtime.getRuntime().addShutdownHook(new Thread(daemon::stop, "stop"));
+      logger.atInfo().log("started node=%s process=%s", settings.node(), daemon.process());
+    } catch (RuntimeException e) {
+      logger.atSevere().withCause(e).log("start-failed");
+      Runtime.getRuntime().halt(EXIT_FAILED);
+    }
+  }
+
+  private static void configureLogs() {
+    System.setProperty(
+        "java.util.logging.SimpleFormatter.format", "time=%1$tFT%1$tT.%1$tL level=%4$s %5$s%6$s%n");
+    try (InputStream defaults =
+        PlantainknotDaemon.class.getResourceAsStream("/logging.properties")) {
+      LogManager.getLogManager().readConfiguration(defaults);
+    } catch (IOException e) {
+      throw new UncheckedIOException(e);
+    }
+  }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/plantainknot/daemon/caller/CallerServer.java
@@ -0,0 +1,136 @@
+package org.plantainknot.daemon.caller;
+
+import com.google.common.flogger.FluentLogger;
+import io.smallrye.mutiny.Uni;
+import io.smallrye.mutiny.vertx.core.AbstractVerticle;
+import io.vertx.core.http.HttpServerOptions;
+import io.vertx.core.json.JsonObject;
+import io.vertx.mutiny.core.Context;
+import io.vertx.mutiny.core.http.HttpServer;
+import io.vertx.mutiny.core.http.HttpServerResponse;
+import io.vertx.mutiny.ext.web.Router;
+import io.vertx.mutiny.ext.web.RoutingContext;
+import io.vertx.mutiny.ext.web.handler.BodyHandler;
+import org.plantainknot.core.error.ErrorCode;
+import org.plantainknot.core.error.PlantainknotException;
+import org.plantainknot.daemon.settings.DaemonSettings;
+import org.plantainknot.daemon.settings.SettingKey;
+import org.plantainknot.daemon.target.AnnouncementBody;
+import org.plantainknot.daemon.target.Announcements;
+
+/** HTTP server for callers, for the balancer's health check, and for the targets' announcements. */
+public final class CallerServer extends AbstractVerticle {
+
+  private static final FluentLogger logger = FluentLogger.forEnclosingClass();
+  private static final int MAX_HEADER_BYTES = 16 << 10;
+
+  private final DaemonSettings settings;
+  private final Gateway gateway;
+  private final Announcements announcements;
+  private final RequestParser parser;
+  private HttpServer server;
+
+  /** Creates one of the servers that share the port. */
+  public CallerServer(DaemonSettings settings, Gateway gateway, Announcements announcements) {
+    this.settings = settings;
+    this.gateway = gateway;
+    this.announcements = announcements;
+    this.parser = new RequestParser(settings.number(SettingKey.LIMIT_REQUEST_MAX_MILLIS));
+  }
+
+  @Override
+  public Uni<Void> asyncStart() {
+    Router router = Router.router(vertx);
+    BodyHandler body =
+        BodyHandler.create(false).setBodyLimit(settings.number(SettingKey.LIMIT_BODY_BYTES));
+    router.get("/-/health").handler(this::health);
+    router.post("/-/announce").handler(body).handler(this::announce);
+    router.route("/services/:service").handler(body).handler(this::serve);
+    router.route("/services/:service/*").handler(body).handler(this::serve);
+    router.route().failureHandler(this::fail);
+    server = vertx.createHttpServer(new HttpServerOptions().setMaxHeaderSize(MAX_HEADER_BYTES));
+    return server
+        .requestHandler(router)
+        .listen(
+            (int) settings.number(SettingKey.LISTEN_CALLER_PORT),
+            settings.text(SettingKey.LISTEN_HOST))
+        .replaceWithVoid();
+  }
+
+  private void health(RoutingContext context) {
+    boolean healthy = gateway.isHealthy();
+    end(context.response().setStatusCode(healthy ? 200 : 503), healthy ? "ok\n" : "no lease\n");
+  }
+
+  private void announce(RoutingContext context) {
+    AnnouncementBody announcement;
+    try {
+      announcement = context.body().asPojo(AnnouncementBody.class);
+    } catch (RuntimeException e) {
+      throw new PlantainknotException(
+          ErrorCode.INVALID_INPUT, "the announcement is not the expected JSON object");
+    }
+    announcements
+        .announce(announcement)
+        .subscribe()
+        .with(result -> end(context.response(), "ok\n"), context::fail);
+  }
+
+  private void serve(RoutingContext context) {
+    CallerRequest request = parser.parse(context);
+    Context eventLoop = vertx.getOrCreateContext();
+    gateway
+        .run(request, eventLoop::runOnContext, cancel -> context.response().closeHandler(cancel))
+        .subscribe()
+        .with(answer -> write(context, answer), context::fail);
+  }
+
+  private static void write(RoutingContext context, CallerAnswer answer) {
+    HttpServerResponse response = context.response();
+    if (response.closed() || response.ended()) {
+      return;
+    }
+    response.setStatusCode(answer.status());
+    answer
+        .headers()
+        .forEach(
+            entry -> {
+              if (Headers.isPassedOn(entry.getKey())) {
+                response.headers().add(entry.getKey(), entry.getValue());
+              }
+            });
+    response.putHeader(Headers.OUTCOME, answer.outcome().headerValue());
+    if (answer.reason() != null) {
+      response.putHeader(Headers.REASON, answer.reason().replaceAll("[^ -~]", "?"));
+    }
+    response.end(answer.body()).subscribe().with(done -> {}, gone -> {});
+  }
+
+  private void fail(RoutingContext context) {
+    HttpServerResponse response = context.response();
+    if (response.ended()) {
+      return;
+    }
+    Throwable failure = context.failure();
+    int status = context.statusCode() > 0 ? context.statusCode() : 500;
+    JsonObject error = new JsonObject();
+    if (failure instanceof PlantainknotException known) {
+      status = known.code().httpStatus();
+      error.put("code", known.code().code()).put("message", known.getMessage());
+    } else {
+      ErrorCode code = status == 413 ? ErrorCode.TOO_LARGE : ErrorCode.INVALID_INPUT;
+      code = status >= 500 ? ErrorCode.INTERNAL : code;
+      error.put("code", code.code()).put("message", "HTTP status " + status);
+      logger.atWarning().withCause(failure).log("request-failed status=%d", status);
+    }
+    response.setStatusCode(status).putHeader("Content-Type", "application/json");
+    boolean knownNotRun = status < 500;
+    response.putHeader(
+        Headers.OUTCOME, (knownNotRun ? Outcome.NOT_RUN : Outcome.MAY_HAVE_RUN).headerValue());
+    end(response, error.encode() + "\n");
+  }
+
+  private static void end(HttpServerResponse response, String text) {
+    response.end(text).subscribe().with(done -> {}, gone -> {});
+  }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/plantainknot/daemon/caller/RefusedException.java
@@ -0,0 +1,18 @@
+package org.plantainknot.daemon.caller;
+
+import org.plantainknot.core.admission.Refusal;
+
+/** A request was refused while it waited for a slot. */
+final class RefusedException extends RuntimeException {
+
+  private final Refusal refusal;
+
+  RefusedException(Refusal refusal) {
+    super(refusal.reason(), null, false, false);
+    this.refusal = refusal;
+  }
+
+  Refusal refusal() {
+    return refusal;
+  }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/plantainknot/daemon/caller/RequestRun.java
@@ -0,0 +1,208 @@
+package org.plantainknot.daemon.caller;
+
+import io.smallrye.mutiny.Uni;
+import io.vertx.mutiny.core.MultiMap;
+import io.vertx.mutiny.core.buffer.Buffer;
+import java.nio.charset.StandardCharsets;
+import java.security.MessageDigest;
+import java.security.NoSuchAlgorithmException;
+import java.util.HexFormat;
+import java.util.List;
+import java.util.UUID;
+import java.util.concurrent.Executor;
+import org.plantainknot.core.admission.QueuedRequest;
+import org.plantainknot.core.admission.Refusal;
+import org.plantainknot.core.claim.Claim;
+import org.plantainknot.core.claim.ClaimOutcome;
+import org.plantainknot.core.claim.StoredAnswer;
+import org.plantainknot.core.control.Command;
+import org.plantainknot.core.control.Result;
+import org.plantainknot.core.routing.Slot;
+import org.plantainknot.core.routing.TargetOutcome;
+import org.plantainknot.daemon.control.Clock;
+import org.plantainknot.daemon.control.ControlNode;
+import org.plantainknot.daemon.target.TargetClient;
+import org.plantainknot.daemon.target.TargetReply;
+
+/**
+ * Run of one request: a slot, for a non-idempotent request a claim, then the target.
+ *
+ * <p>"Not run" is said only while nothing was sent to a target. A non-idempotent request is sent at
+ * most once after its claim was granted.
+ */
+final class RequestRun {
+
+  private static final long CLOSE_CLAIM_MILLIS = 30_000;
+
+  private final ControlNode node;
+  private final TargetClient targets;
+  private final PoolShard shard;
+  private final CallerRequest request;
+  private final boolean idempotent;
+  private final Executor eventLoop;
+  private final QueuedRequest queued;
+  private final String attempt = UUID.randomUUID().toString();
+  private boolean claimed;
+  private boolean sent;
+
+  RequestRun(
+      ControlNode node,
+      TargetClient targets,
+      PoolShard shard,
+      CallerRequest request,
+      boolean idempotent,
+      Executor eventLoop) {
+    this.node = node;
+    this.targets = targets;
+    this.shard = shard;
+    this.request = request;
+    this.idempotent = idempotent;
+    this.eventLoop = eventLoop;
+    this.queued = new QueuedRequest(request.service(), request.kind(), request.deadlineMillis());
+  }
+
+  /** Runs the request; the answer always comes. */
+  Uni<CallerAnswer> start() {
+    return runWith(shard.acquire(queued));
+  }
+
+  /** Frees the request's place if it still waits. */
+  void cancel() {
+    shard.cancel(queued);
+  }
+
+  private Uni<CallerAnswer> runWith(Uni<Slot> slot) {
+    return slot.emitOn(eventLoop)
+        .onItem()
+        .transformToUni(this::runOn)
+        .onFailure(RefusedException.class)
+        .recoverWithItem(e -> refused(e.refusal()));
+  }
+
+  private CallerAnswer refused(Refusal refusal) {
+    if (sent) {
+      return CallerAnswer.mayHaveRun(refusal.reason());
+    }
+    closeClaim(ClaimOutcome.NOT_RUN, null);
+    return CallerAnswer.notRun(refusal.reason());
+  }
+
+  private Uni<CallerAnswer> runOn(Slot slot) {
+    if (idempotent || claimed) {
+      return dispatch(slot);
+    }
+    return claim()
+        .emitOn(eventLoop)
+        .onItem()
+        .transformToUni(result -> onClaimed(slot, (Result.Claimed) result))
+        .onFailure(e -> !(e instanceof RefusedException))
+        .recoverWithUni(e -> unclaimed(slot, CallerAnswer.notRun("the claim was not confirmed")));
+  }
+
+  private Uni<Result> claim() {
+    Claim claim =
+        new Claim(
+            request.key(),
+            contentHash(),
+            request.issuedMillis(),
+            node.process(),
+            attempt,
+            ClaimOutcome.OPEN,
+            null);
+    claimed = true;
+    long leftMillis = Math.max(1, request.deadlineMillis() - Clock.nowMillis());
+    return node.submit(attempt, new Command.OpenClaim(claim), leftMillis);
+  }
+
+  private Uni<CallerAnswer> onClaimed(Slot slot, Result.Claimed result) {
+    switch (result.verdict()) {
+      case GRANTED:
+        return dispatch(slot);
+      case ANSWERED:
+        return unclaimed(slot, storedAnswer(result.answer()));
+      case IN_PROGRESS:
+        return unclaimed(slot, CallerAnswer.inProgress());
+      case MAY_HAVE_RUN:
+        return unclaimed(slot, CallerAnswer.mayHaveRun("an earlier attempt may have run"));
+      case TOO_OLD:
+        return unclaimed(
+            slot,
+            CallerAnswer.notRun(400, "the request was issued too long ago, or in the future"));
+      case OTHER_CONTENT:
+        return unclaimed(
+            slot, CallerAnswer.notRun(422, "the key was used for a request with other content"));
+      default:
+        return unclaimed(slot, CallerAnswer.notRun("no more requests can be claimed"));
+    }
+  }
+
+  private Uni<CallerAnswer> unclaimed(Slot slot, CallerAnswer answer) {
+    closeClaim(ClaimOutcome.NOT_RUN, null);
+    shard.release(slot, request.service(), TargetOutcome.UNUSED);
+    return Uni.createFrom().item(answer);
+  }
+
+  /** The last look at the lease and the clock comes right before the first byte. */
+  private Uni<CallerAnswer> dispatch(Slot slot) {
+    if (!node.mayWork() || Clock.nowMillis() >= request.deadlineMillis()) {
+      shard.release(slot, request.service(), TargetOutcome.UNUSED);
+      return Uni.createFrom().item(refused(Refusal.NO_LEASE));
+    }
+    return targets
+        .run(slot.vm().announcement(), request)
+        .onItem()
+        .transformToUni(reply -> onReply(slot, reply));
+  }
+
+  private Uni<CallerAnswer> onReply(Slot slot, TargetReply reply) {
+    shard.release(slot, request.service(), reply.outcome());
+    if (reply.kind() == TargetReply.Kind.ANSWERED) {
+      closeClaim(ClaimOutcome.ANSWERED, toStore(reply));
+      return Uni.createFrom()
+          .item(CallerAnswer.answered(reply.status(), reply.headers(), reply.body()));
+    }
+    sent |= reply.kind() == TargetReply.Kind.LOST;
+    if (sent && !idempotent) {
+      closeClaim(ClaimOutcome.MAY_HAVE_RUN, null);
+      return Uni.createFrom().item(CallerAnswer.mayHaveRun(reply.problem()));
+    }
+    return runWith(shard.acquireAgain(queued, slot.vm().name()));
+  }
+
+  private void closeClaim(ClaimOutcome outcome, StoredAnswer answer) {
+    if (claimed) {
+      Command close = new Command.CloseClaim(request.key(), attempt, outcome, answer);
+      node.submit(close, CLOSE_CLAIM_MILLIS).subscribe().with(done -> {}, lost -> {});
+    }
+  }
+
+  private String contentHash() {
+    MessageDigest digest = sha256();
+    for (String part : List.of(request.service(), request.method().name(), request.uri())) {
+      digest.update(part.getBytes(StandardCharsets.UTF_8));
+      digest.update((byte) 0);
+    }
+    return HexFormat.of().formatHex(digest.digest(request.body().getBytes()));
+  }
+
+  private static MessageDigest sha256() {
+    try {
+      return MessageDigest.getInstance("SHA-256");
+    } catch (NoSuchAlgorithmException e) {
+      throw new IllegalStateException("every Java platform has SHA-256", e);
+    }
+  }
+
+  private static StoredAnswer toStore(TargetReply reply) {
+    return new StoredAnswer(
+        reply.status(), reply.headers().get("Content-Type"), reply.body().getBytes());
+  }
+
+  private static CallerAnswer storedAnswer(StoredAnswer stored) {
+    MultiMap headers = MultiMap.caseInsensitiveMultiMap();
+    if (stored.contentType() != null) {
+      headers.set("Content-Type", stored.contentType());
+    }
+    return CallerAnswer.answered(stored.status(), headers, Buffer.buffer(stored.body()));
+  }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/plantainknot/daemon/caller/RoutingTable.java
@@ -0,0 +1,18 @@
+package org.plantainknot.daemon.caller;
+
+import java.util.Map;
+import org.plantainknot.core.fleet.Service;
+
+/**
+ * What a gateway routes by.
+ *
+ * @param services services by name
+ */
+record RoutingTable(Map<String, Service> services) {
+
+  static final RoutingTable EMPTY = new RoutingTable(Map.of());
+
+  RoutingTable {
+    services = Map.copyOf(services);
+  }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/plantainknot/daemon/caller/package-info.java
@@ -0,0 +1,2 @@
+/** Callers: the HTTP server, and the run of each request. */
+package org.plantainknot.daemon.caller;
--- /dev/null
+++ b/daemon/src/main/java/org/plantainknot/daemon/control/ControlNode.java
@@ -0,0 +1,415 @@
+package org.plantainknot.daemon.control;
+
+import com.google.common.flogger.FluentLogger;
+import com.google.protobuf.InvalidProtocolBufferException;
+import io.smallrye.mutiny.Uni;
+import java.util.List;
+import java.util.Map;
+import java.util.SortedMap;
+import java.util.TreeMap;
+import java.util.UUID;
+import java.util.concurrent.CompletableFuture;
+import java.util.function.Function;
+import java.util.function.Predicate;
+import org.plantainknot.core.control.Command;
+import org.plantainknot.core.control.ControlState;
+import org.plantainknot.core.control.Result;
+import org.plantainknot.core.lease.GatewayLease;
+import org.plantainknot.core.replica.Entry;
+import org.plantainknot.core.replica.Envelope;
+import org.plantainknot.core.replica.MemberId;
+import org.plantainknot.core.replica.Membership;
+import org.plantainknot.core.replica.Message;
+import org.plantainknot.core.replica.Ready;
+import org.plantainknot.core.replica.Replica;
+import org.plantainknot.core.replica.ReplicaStatus;
+import org.plantainknot.core.replica.ReplicaTiming;
+import org.plantainknot.core.replica.Snapshot;
+import org.plantainknot.daemon.member.FrameCodec;
+import org.plantainknot.daemon.member.FrameListener;
+import org.plantainknot.daemon.member.MemberLinks;
+import org.plantainknot.daemon.settings.DaemonSettings;
+import org.plantainknot.daemon.settings.SettingKey;
+import org.plantainknot.daemon.storage.ReplicaStorage;
+import org.plantainknot.daemon.storage.StorageCodec;
+import org.plantainknot.wire.member.CommandProto;
+import org.plantainknot.wire.member.FormProto;
+import org.plantainknot.wire.member.FrameProto;
+import org.plantainknot.wire.member.NotLeaderProto;
+import org.plantainknot.wire.member.ProposeProto;
+
+/**
+ * Host of the replicated log and state in this process.
+ *
+ * <p>One thread, the control thread, owns the replica, the state and the leader's office. The
+ * storage thread syncs beside it, and the links' threads hand their frames to it.
+ */
+public final class ControlNode implements FrameListener, AutoCloseable {
+
+  private static final FluentLogger logger = FluentLogger.forEnclosingClass();
+  private static final long TICK_MILLIS = 10;
+  private static final long LEAVE_POLL_MILLIS = 50;
+
+  private final DaemonSettings settings;
+  private final String process;
+  private final ReplicaStorage storage;
+  private final MemberId self;
+  private final Replica replica;
+  private final ControlState state;
+  private final MemberLinks links;
+  private final StorageWriter writer;
+  private final Leader leader;
+  private final LeaseClient leaseClient;
+  private final CommandQueue commands = new CommandQueue();
+  private final VoterChange voterChange;
+  private final ControlThread control = new ControlThread();
+  private final SortedMap<Long, List<Envelope>> messagesByToken = new TreeMap<>();
+  private StateListener listener;
+  private long seenFleetVersion;
+  private boolean flushPosted;
+  private volatile boolean stopping;
+  private volatile boolean ready;
+
+  /** Prepares the node; nothing runs before {@link #start}. */
+  public ControlNode(
+      DaemonSettings settings,
+      String process,
+      ReplicaStorage storage,
+      Predicate<String> isRebooted,
+      Runnable onFailure) {
+    this.settings = settings;
+    this.process = process;
+    this.storage = storage;
+    this.self = storage.member();
+    this.state = new ControlState(settings.claimLimits());
+    this.replica =
+        new Replica(
+            self,
+            ReplicaTiming.DEFAULT,
+            storage.stored(),
+            UUID.randomUUID().getMostSignificantBits(),
+            Clock.nowMillis());
+    this.voterChange = new VoterChange(replica);
+    this.leader =
+        new Leader(
+            settings, replica, state, commands, isRebooted, this::sendOrHandle, this::postFlush);
+    this.leaseClient = new LeaseClient(settings, process, state, this::sendOrHandle);
+    Snapshot snapshot = storage.stored().snapshot();
+    if (snapshot.lastIndex() > 0) {
+      state.restore(StateCodec.decodeImage(snapshot.data()));
+    }
+    this.links = new MemberLinks(self, process, settings.members(), this);
+    this.writer = new StorageWriter(storage, this::onSynced, onFailure);
+  }
+
+  /** Starts the links and the control thread. */
+  public void start(StateListener stateListener) {
+    this.listener = stateListener;
+    leaseClient.start(stateListener);
+    links.start(
+        settings.text(SettingKey.LISTEN_HOST),
+        (int) settings.number(SettingKey.LISTEN_MEMBER_PORT));
+    control.repeat(this::tick, TICK_MILLIS);
+  }
+
+  /** Returns the lease of this gateway. */
+  public GatewayLease lease() {
+    return leaseClient.lease();
+  }
+
+  /** Returns the identifier of this process. */
+  public String process() {
+    return process;
+  }
+
+  /** Returns whether this gateway takes new work now. */
+  public boolean mayWork() {
+    return ready && !stopping && lease().isHeld(Clock.nowMillis());
+  }
+
+  /** Puts a command into the log and returns its result once it is applied here. */
+  public Uni<Result> submit(Command command, long timeoutMillis) {
+    return submit(UUID.randomUUID().toString(), command, timeoutMillis);
+  }
+
+  /** Puts a command into the log; one with the same identifier as an earlier one is the same. */
+  public Uni<Result> submit(String commandId, Command command, long timeoutMillis) {
+    CompletableFuture<Result> result = new CompletableFuture<>();
+    long deadlineMillis = Clock.nowMillis() + timeoutMillis;
+    control.execute(
+        () -> {
+          commands.add(commandId, command, result, deadlineMillis);
+          postFlush();
+        });
+    return Uni.createFrom().completionStage(result);
+  }
+
+  /** Reads the state on the control thread. */
+  public <T> Uni<T> read(Function<ControlState, T> reader) {
+    return control.call(() -> reader.apply(state));
+  }
+
+  /** Returns a view of this node for reports. */
+  public Uni<ControlView> view() {
+    return control.call(
+        () ->
+            new ControlView(
+                process,
+                replica.status(),
+                state.appliedIndex(),
+                replica.logSize(),
+                leader.isInOffice(),
+                lease().untilMillis() - Clock.nowMillis(),
+                links.linked(),
+                commands.size(),
+                leader.waiting()));
+  }
+
+  /** Forms a new cluster of the named voters, which must all be linked and have empty disks. */
+  public Uni<Membership> form(List<String> nodes) {
+    return control.call(
+        () -> {
+          Membership membership = voterChange.plan(self, nodes);
+          replica.form(membership);
+          FormProto form =
+              FormProto.newBuilder().setMembership(StorageCodec.toProto(membership)).build();
+          nodes.forEach(n -> links.send(n, FrameProto.newBuilder().setForm(form).build()));
+          drain();
+          return membership;
+        });
+  }
+
+  /** Starts to replace a voter's lost disk by the one that its node has now. */
+  public Uni<String> replaceVoter(String node) {
+    return control.call(() -> voterChange.replace(node));
+  }
+
+  /** Stops taking part as a gateway; returns once the leader has noted it, or the time is up. */
+  public Uni<Boolean> leave(long timeoutMillis) {
+    stopping = true;
+    CompletableFuture<Boolean> left = new CompletableFuture<>();
+    long deadlineMillis = Clock.nowMillis() + timeoutMillis;
+    control.execute(
+        () -> {
+          leaseClient.stop();
+          awaitLeft(left, deadlineMillis);
+        });
+    return Uni.createFrom().completionStage(left);
+  }
+
+  @Override
+  public void close() {
+    control
+        .call(
+            () -> {
+              replica.handOver();
+              drain();
+              return true;
+            })
+        .onFailure()
+        .recoverWithItem(false)
+        .await()
+        .indefinitely();
+    control.shutdown();
+    writer.close();
+    links.close();
+  }
+
+  @Override
+  public void onLinked(MemberId peer) {
+    control.execute(
+        () -> {
+          replica.peerSeen(peer);
+          voterChange.seen(peer);
+        });
+  }
+
+  @Override
+  public void onFrame(MemberId sender, FrameProto frame) {
+    control.execute(() -> handle(sender, frame));
+  }
+
+  private void handle(MemberId sender, FrameProto frame) {
+    long nowMillis = Clock.nowMillis();
+    switch (frame.getBodyCase()) {
+      case PROPOSE -> onPropose(sender.node(), frame.getPropose().getCommandsList());
+      case NOT_LEADER -> frame.getNotLeader().getCommandIdsList().forEach(commands::rejected);
+      case LEASE_REQUEST -> leader.request(sender.node(), frame.getLeaseRequest());
+      case LEASE_REPLY -> leaseClient.replied(frame.getLeaseReply());
+      case FORM -> voterChange.form(frame.getForm());
+      default -> {
+        Message message = FrameCodec.fromFrame(frame);
+        if (message != null) {
+          replica.receive(sender, message, nowMillis);
+        }
+      }
+    }
+    drain();
+  }
+
+  private void tick() {
+    long nowMillis = Clock.nowMillis();
+    replica.tick(nowMillis);
+    drain();
+    commands.expire(nowMillis);
+    flush();
+    leaseClient.ask(replica.status().leader(), nowMillis, false);
+    leader.performDuties(nowMillis);
+    voterChange.advance();
+    compactIfLarge();
+    drain();
+  }
+
+  private void postFlush() {
+    if (!flushPosted) {
+      flushPosted = true;
+      control.execute(this::flush);
+    }
+  }
+
+  /** Sends on what has gathered since the last flush: commands, lease requests, new entries. */
+  private void flush() {
+    flushPosted = false;
+    long nowMillis = Clock.nowMillis();
+    ReplicaStatus status = replica.status();
+    if (status.leader() != null) {
+      List<CommandProto> unsent = commands.takeUnsent(status.leader().node(), nowMillis);
+      if (status.isLeader()) {
+        unsent.forEach(this::propose);
+      } else if (!unsent.isEmpty()) {
+        ProposeProto proposal = ProposeProto.newBuilder().addAllCommands(unsent).build();
+        links.send(status.leader().node(), FrameProto.newBuilder().setPropose(proposal).build());
+      }
+    }
+    replica.flush(nowMillis);
+    leader.startRound(nowMillis);
+    drain();
+  }
+
+  private void propose(CommandProto command) {
+    CommandProto stamped = command.toBuilder().setStampMillis(Clock.wallMillis()).build();
+    replica.propose(stamped.toByteArray());
+  }
+
+  private void onPropose(String sender, List<CommandProto> proposed) {
+    if (replica.status().isLeader()) {
+      proposed.forEach(this::propose);
+      postFlush();
+      return;
+    }
+    NotLeaderProto.Builder rejection = NotLeaderProto.newBuilder();
+    proposed.forEach(command -> rejection.addCommandIds(command.getCommandId()));
+    links.send(sender, FrameProto.newBuilder().setNotLeader(rejection).build());
+  }
+
+  /** Carries out what the replica asks for, until it asks for nothing more. */
+  private void drain() {
+    for (Ready work = replica.ready(); !work.isEmpty(); work = replica.ready()) {
+      boolean sendFirst = settings.flag(SettingKey.LOG_PARALLEL_SYNC) || work.records().isEmpty();
+      if (sendFirst) {
+        work.messages().forEach(this::send);
+      }
+      if (!work.records().isEmpty()) {
+        persist(work, !sendFirst);
+      }
+      if (work.restored() != null) {
+        state.restore(StateCodec.decodeImage(work.restored().data()));
+      }
+      work.committed().forEach(this::apply);
+    }
+    leader.followRole();
+    followState();
+    leader.answerLeases();
+  }
+
+  private void persist(Ready work, boolean sendAfterwards) {
+    if (settings.dataFolder().isEmpty()) {
+      replica.synced(work.syncToken());
+    } else {
+      writer.write(work.records(), work.syncToken());
+    }
+    if (sendAfterwards) {
+      messagesByToken.put(work.syncToken(), work.messages());
+    }
+  }
+
+  private void onSynced(long token) {
+    control.execute(
+        () -> {
+          Map<Long, List<Envelope>> due = messagesByToken.headMap(token + 1);
+          due.values().forEach(envelopes -> envelopes.forEach(this::send));
+          due.clear();
+          replica.synced(token);
+          drain();
+        });
+  }
+
+  private void send(Envelope envelope) {
+    links.send(envelope.receiver().node(), FrameCodec.toFrame(envelope.message()));
+  }
+
+  /** Sends a frame to a node, which may be this one. */
+  private void sendOrHandle(String node, FrameProto frame) {
+    if (!node.equals(self.node())) {
+      links.send(node, frame);
+    } else if (frame.hasLeaseRequest()) {
+      leader.request(node, frame.getLeaseRequest());
+    } else {
+      leaseClient.replied(frame.getLeaseReply());
+    }
+  }
+
+  private void apply(Entry entry) {
+    if (!entry.hasCommand()) {
+      state.skip(entry.index());
+      return;
+    }
+    CommandProto proto = parse(entry.command());
+    Command command = StateCodec.decodeCommand(proto.getBody().toByteArray());
+    Result result =
+        state.apply(entry.index(), proto.getStampMillis(), proto.getCommandId(), command);
+    commands.applied(proto.getCommandId(), result);
+    if (!(command instanceof Command.OpenClaim || command instanceof Command.CloseClaim)) {
+      logger.atFine().log("applied index=%d command=%s result=%s", entry.index(), command, result);
+    }
+  }
+
+  private static CommandProto parse(byte[] bytes) {
+    try {
+      return CommandProto.parseFrom(bytes);
+    } catch (InvalidProtocolBufferException e) {
+      throw new IllegalStateException("committed entry can't be read", e);
+    }
+  }
+
+  private void followState() {
+    lease().applied(state.appliedIndex());
+    if (state.fleetVersion() != seenFleetVersion) {
+      seenFleetVersion = state.fleetVersion();
+      listener.onFleetChanged(state);
+      ready = true;
+      leaseClient.ask(replica.status().leader(), Clock.nowMillis(), true);
+    }
+  }
+
+  private void compactIfLarge() {
+    boolean large = replica.logSize() > settings.number(SettingKey.LOG_SNAPSHOT_ENTRIES);
+    if (!large || replica.status().commitIndex() != state.appliedIndex()) {
+      return;
+    }
+    drain();
+    Snapshot snapshot = replica.compact(state.appliedIndex(), StateCodec.encode(state.image()));
+    writer.compact(snapshot, replica.entries());
+    logger.atInfo().log("snapshot index=%d bytes=%d", snapshot.lastIndex(), snapshot.data().length);
+  }
+
+  private void awaitLeft(CompletableFuture<Boolean> left, long deadlineMillis) {
+    boolean gone = !state.gateways().isLive(process);
+    if (gone || Clock.nowMillis() >= deadlineMillis) {
+      left.complete(gone);
+      return;
+    }
+    leaseClient.ask(replica.status().leader(), Clock.nowMillis(), true);
+    control.schedule(() -> awaitLeft(left, deadlineMillis), LEAVE_POLL_MILLIS);
+  }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/plantainknot/daemon/control/ControlThread.java
@@ -0,0 +1,66 @@
+package org.plantainknot.daemon.control;
+
+import com.google.common.flogger.FluentLogger;
+import io.smallrye.mutiny.Uni;
+import java.util.concurrent.Callable;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.Executors;
+import java.util.concurrent.RejectedExecutionException;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.TimeUnit;
+
+/**
+ * The one thread that owns the replicated log and state.
+ *
+ * <p>A failure on it leaves the state unknown, so that the process ends.
+ */
+final class ControlThread {
+
+  private static final FluentLogger logger = FluentLogger.forEnclosingClass();
+  private static final int EXIT_STATUS = 3;
+
+  private final ScheduledExecutorService executor =
+      Executors.newSingleThreadScheduledExecutor(task -> new Thread(task, "control"));
+
+  void execute(Runnable task) {
+    try {
+      executor.execute(() -> guarded(task));
+    } catch (RejectedExecutionException e) {
+      logger.atFine().log("task dropped, the daemon is stopping");
+    }
+  }
+
+  void schedule(Runnable task, long delayMillis) {
+    executor.schedule(() -> guarded(task), delayMillis, TimeUnit.MILLISECONDS);
+  }
+
+  void repeat(Runnable task, long intervalMillis) {
+    executor.scheduleWithFixedDelay(() -> guarded(task), 0, intervalMillis, TimeUnit.MILLISECONDS);
+  }
+
+  <T> Uni<T> call(Callable<T> task) {
+    CompletableFuture<T> result = new CompletableFuture<>();
+    execute(
+        () -> {
+          try {
+            result.complete(task.call());
+          } catch (Exception e) {
+            result.completeExceptionally(e);
+          }
+        });
+    return Uni.createFrom().completionStage(result);
+  }
+
+  void shutdown() {
+    executor.shutdown();
+  }
+
+  private static void guarded(Runnable task) {
+    try {
+      task.run();
+    } catch (RuntimeException | Error e) {
+      logger.atSevere().withCause(e).log("control-failed");
+      Runtime.getRuntime().halt(EXIT_STATUS);
+    }
+  }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/plantainknot/daemon/control/StateCodec.java
@@ -0,0 +1,79 @@
+package org.plantainknot.daemon.control;
+
+import com.fasterxml.jackson.annotation.JsonAutoDetect.Visibility;
+import com.fasterxml.jackson.annotation.JsonTypeInfo;
+import com.fasterxml.jackson.annotation.PropertyAccessor;
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.json.JsonMapper;
+import com.fasterxml.jackson.dataformat.cbor.CBORFactory;
+import java.io.IOException;
+import org.plantainknot.core.control.Command;
+import org.plantainknot.core.control.ControlState;
+import org.plantainknot.core.control.Result;
+import org.plantainknot.core.error.ErrorCode;
+import org.plantainknot.core.error.PlantainknotException;
+
+/** Encodes commands and snapshots as CBOR (RFC 8949), and reports as JSON. */
+public final class StateCodec {
+
+  @JsonTypeInfo(use = JsonTypeInfo.Id.SIMPLE_NAME, property = "type")
+  private interface Typed {}
+
+  private static final ObjectMapper CBOR = configure(new ObjectMapper(new CBORFactory()));
+  private static final ObjectMapper JSON = configure(JsonMapper.builder().build());
+
+  private StateCodec() {}
+
+  /** Returns the mapper for JSON. */
+  public static ObjectMapper json() {
+    return JSON;
+  }
+
+  /** Returns the encoded command. */
+  public static byte[] encode(Command command) {
+    return write(command);
+  }
+
+  /** Returns the decoded command. */
+  public static Command decodeCommand(byte[] bytes) {
+    return read(bytes, Command.class);
+  }
+
+  /** Returns the encoded state. */
+  public static byte[] encode(ControlState.Image image) {
+    return write(image);
+  }
+
+  /** Returns the decoded state. */
+  public static ControlState.Image decodeImage(byte[] bytes) {
+    return read(bytes, ControlState.Image.class);
+  }
+
+  private static ObjectMapper configure(ObjectMapper mapper) {
+    mapper.setVisibility(PropertyAccessor.ALL, Visibility.NONE);
+    mapper.setVisibility(PropertyAccessor.FIELD, Visibility.ANY);
+    mapper.setVisibility(PropertyAccessor.CREATOR, Visibility.ANY);
+    mapper.addMixIn(Command.class, Typed.class);
+    mapper.addMixIn(Result.class, Typed.class);
+    mapper.registerSubtypes(Command.class.getPermittedSubclasses());
+    mapper.registerSubtypes(Result.class.getPermittedSubclasses());
+    return mapper;
+  }
+
+  private static byte[] write(Object value) {
+    try {
+      return CBOR.writeValueAsBytes(value);
+    } catch (JsonProcessingException e) {
+      throw new PlantainknotException(ErrorCode.INTERNAL, "can't encode: " + e.getMessage());
+    }
+  }
+
+  private static <T> T read(byte[] bytes, Class<T> type) {
+    try {
+      return CBOR.readValue(bytes, type);
+    } catch (IOException e) {
+      throw new PlantainknotException(ErrorCode.INTERNAL, "can't decode: " + e.getMessage());
+    }
+  }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/plantainknot/daemon/control/StorageWriter.java
@@ -0,0 +1,96 @@
+package org.plantainknot.daemon.control;
+
+import com.google.common.flogger.FluentLogger;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.function.LongConsumer;
+import org.plantainknot.core.replica.Entry;
+import org.plantainknot.core.replica.LogRecord;
+import org.plantainknot.core.replica.Snapshot;
+import org.plantainknot.daemon.storage.ReplicaStorage;
+
+/**
+ * Thread that writes to the storage, one sync for all that has come together.
+ *
+ * <p>A failure ends the process, since no later sync could be trusted.
+ */
+final class StorageWriter implements AutoCloseable {
+
+  private static final FluentLogger logger = FluentLogger.forEnclosingClass();
+
+  /**
+   * Work for the thread: records, or a snapshot of the own state with the entries after it.
+   *
+   * @param records records to sync, empty for a snapshot
+   * @param token token to report once they are synced
+   * @param snapshot snapshot, or null
+   * @param rest entries after the snapshot
+   */
+  private record Job(List<LogRecord> records, long token, Snapshot snapshot, List<Entry> rest) {}
+
+  private final ReplicaStorage storage;
+  private final LongConsumer onSynced;
+  private final Runnable onFailure;
+  private final BlockingQueue<Job> jobs = new LinkedBlockingQueue<>();
+  private final Thread thread = new Thread(this::run, "storage");
+
+  StorageWriter(ReplicaStorage storage, LongConsumer onSynced, Runnable onFailure) {
+    this.storage = storage;
+    this.onSynced = onSynced;
+    this.onFailure = onFailure;
+    thread.setDaemon(true);
+    thread.start();
+  }
+
+  void write(List<LogRecord> records, long token) {
+    jobs.add(new Job(records, token, null, List.of()));
+  }
+
+  void compact(Snapshot snapshot, List<Entry> rest) {
+    jobs.add(new Job(List.of(), 0, snapshot, rest));
+  }
+
+  @Override
+  public void close() {
+    thread.interrupt();
+    try {
+      thread.join(1_000);
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+    }
+    storage.close();
+  }
+
+  private void run() {
+    try {
+      while (!Thread.currentThread().isInterrupted()) {
+        List<Job> batch = new ArrayList<>(List.of(jobs.take()));
+        jobs.drainTo(batch);
+        perform(batch);
+      }
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+    } catch (RuntimeException e) {
+      logger.atSevere().withCause(e).log("storage-failed");
+      onFailure.run();
+    }
+  }
+
+  private void perform(List<Job> batch) {
+    List<LogRecord> records = new ArrayList<>();
+    long token = 0;
+    for (Job job : batch) {
+      records.addAll(job.records());
+      token = Math.max(token, job.token());
+      if (job.snapshot() != null) {
+        storage.append(records);
+        records.clear();
+        storage.compact(job.snapshot(), job.rest());
+      }
+    }
+    storage.append(records);
+    onSynced.accept(token);
+  }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/plantainknot/daemon/control/VoterChange.java
@@ -0,0 +1,102 @@
+package org.plantainknot.daemon.control;
+
+import com.google.common.flogger.FluentLogger;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.SortedMap;
+import java.util.TreeMap;
+import java.util.UUID;
+import org.plantainknot.core.error.ErrorCode;
+import org.plantainknot.core.error.Findings;
+import org.plantainknot.core.error.PlantainknotException;
+import org.plantainknot.core.replica.MemberId;
+import org.plantainknot.core.replica.Membership;
+import org.plantainknot.core.replica.Replica;
+import org.plantainknot.core.replica.ReplicaStatus;
+import org.plantainknot.daemon.storage.StorageCodec;
+import org.plantainknot.wire.member.FormProto;
+
+/**
+ * Forms the cluster and replaces voters, one step at a time.
+ *
+ * <p>The old disk of a node leaves the membership before the new one joins. So at no time does a
+ * member that is gone for good count towards a majority beside the one that takes its place. Used
+ * by the control thread only.
+ */
+final class VoterChange {
+
+  private static final FluentLogger logger = FluentLogger.forEnclosingClass();
+
+  private final Replica replica;
+  private final Map<String, MemberId> peers = new HashMap<>();
+  private MemberId joining;
+
+  VoterChange(Replica replica) {
+    this.replica = replica;
+  }
+
+  void seen(MemberId peer) {
+    peers.put(peer.node(), peer);
+  }
+
+  Membership plan(MemberId self, List<String> nodes) {
+    Findings findings = new Findings();
+    SortedMap<String, String> voters = new TreeMap<>();
+    for (String node : nodes) {
+      MemberId member = node.equals(self.node()) ? self : peers.get(node);
+      if (member == null) {
+        findings.add("voters", "node " + node + " is not linked");
+      } else {
+        voters.put(node, member.incarnation());
+      }
+    }
+    findings.require(voters.containsKey(self.node()), "voters", "must include " + self.node());
+    findings.require(replica.status().lastIndex() == 0, "disk", "is not empty");
+    findings.throwIfAny("the cluster can't be formed");
+    return new Membership(UUID.randomUUID().toString(), voters);
+  }
+
+  void form(FormProto form) {
+    ReplicaStatus status = replica.status();
+    Membership membership = StorageCodec.fromProto(form.getMembership());
+    if (status.lastIndex() == 0 && status.term() == 0 && membership.isVoter(status.self())) {
+      replica.form(membership);
+    }
+  }
+
+  String replace(String node) {
+    ReplicaStatus status = replica.status();
+    if (!status.isLeader()) {
+      String leader = status.leader() == null ? "unknown" : status.leader().node();
+      throw new PlantainknotException(
+          ErrorCode.UNAVAILABLE, "only the leader replaces voters; it is " + leader);
+    }
+    MemberId present = peers.get(node);
+    if (present == null) {
+      throw new PlantainknotException(ErrorCode.NOT_FOUND, "node " + node + " is not linked");
+    }
+    if (status.membership().isVoter(present)) {
+      return "node " + node + " votes with its present disk";
+    }
+    joining = present;
+    return "node " + node + " joins once it holds everything that is committed";
+  }
+
+  void advance() {
+    ReplicaStatus status = replica.status();
+    if (joining == null || !status.isLeader()) {
+      joining = null;
+      return;
+    }
+    Membership membership = status.membership();
+    if (membership.isVoter(joining)) {
+      logger.atInfo().log("voter-joined member=%s", joining);
+      joining = null;
+    } else if (membership.voters().containsKey(joining.node())) {
+      replica.changeMembership(membership.without(joining.node()));
+    } else {
+      replica.changeMembership(membership.with(joining));
+    }
+  }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/plantainknot/daemon/dump/DumpBody.java
@@ -0,0 +1,56 @@
+package org.plantainknot.daemon.dump;
+
+import java.util.Collection;
+import java.util.List;
+import java.util.SortedMap;
+import org.plantainknot.core.control.ControlState;
+import org.plantainknot.core.fleet.Pool;
+import org.plantainknot.core.fleet.Service;
+import org.plantainknot.core.fleet.Vm;
+import org.plantainknot.core.routing.PoolView;
+import org.plantainknot.core.share.GatewayTable;
+import org.plantainknot.core.ticket.TicketEntry;
+import org.plantainknot.daemon.control.ControlView;
+
+/**
+ * Whole state of a process, without the bodies of stored answers.
+ *
+ * @param control replicated log, lease and links
+ * @param clockMillis time of the log
+ * @param tickets all tickets
+ * @param vms all VMs
+ * @param pools all pools
+ * @param services all services
+ * @param gateways gateways and shares
+ * @param claims number of claims
+ * @param storedAnswerBytes bytes of all stored answers
+ * @param queues queues and slots of each pool at this gateway
+ */
+public record DumpBody(
+    ControlView control,
+    long clockMillis,
+    Collection<TicketEntry> tickets,
+    Collection<Vm> vms,
+    Collection<Pool> pools,
+    Collection<Service> services,
+    GatewayTable.Image gateways,
+    int claims,
+    long storedAnswerBytes,
+    SortedMap<String, PoolView> queues) {
+
+  /** Returns the dump of a state. */
+  public static DumpBody of(
+      ControlView control, ControlState state, SortedMap<String, PoolView> queues) {
+    return new DumpBody(
+        control,
+        state.clockMillis(),
+        List.copyOf(state.tickets().entries()),
+        List.copyOf(state.fleet().vms()),
+        List.copyOf(state.fleet().pools()),
+        List.copyOf(state.fleet().services()),
+        state.gateways().image(),
+        state.claims().size(),
+        state.claims().storedBytes(),
+        queues);
+  }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/plantainknot/daemon/dump/package-info.java
@@ -0,0 +1,2 @@
+/** Dump of the process's state. */
+package org.plantainknot.daemon.dump;
--- /dev/null
+++ b/daemon/src/main/java/org/plantainknot/daemon/member/FrameListener.java
@@ -0,0 +1,14 @@
+package org.plantainknot.daemon.member;
+
+import org.plantainknot.core.replica.MemberId;
+import org.plantainknot.wire.member.FrameProto;
+
+/** Receiver of what the other members send. Called on the links' threads. */
+public interface FrameListener {
+
+  /** Notes that a link with the member is up. */
+  void onLinked(MemberId peer);
+
+  /** Handles a frame. */
+  void onFrame(MemberId sender, FrameProto frame);
+}
--- /dev/null
+++ b/daemon/src/main/java/org/plantainknot/daemon/member/LinkHandler.java
@@ -0,0 +1,83 @@
+package org.plantainknot.daemon.member;
+
+import com.google.common.flogger.FluentLogger;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.handler.timeout.IdleState;
+import io.netty.handler.timeout.IdleStateEvent;
+import org.plantainknot.core.replica.MemberId;
+import org.plantainknot.daemon.storage.StorageCodec;
+import org.plantainknot.wire.member.FrameProto;
+import org.plantainknot.wire.member.HeartbeatProto;
+import org.plantainknot.wire.member.HelloProto;
+
+/** One end of a link: says hello, keeps the link alive and closes it when the peer is silent. */
+final class LinkHandler extends SimpleChannelInboundHandler<FrameProto> {
+
+  static final int PROTOCOL_VERSION = 1;
+
+  private static final FluentLogger logger = FluentLogger.forEnclosingClass();
+  private static final FrameProto HEARTBEAT =
+      FrameProto.newBuilder().setHeartbeat(HeartbeatProto.getDefaultInstance()).build();
+
+  private final HelloProto hello;
+  private final FrameListener listener;
+  private MemberId peer;
+
+  LinkHandler(HelloProto hello, FrameListener listener) {
+    this.hello = hello;
+    this.listener = listener;
+  }
+
+  @Override
+  public void channelActive(ChannelHandlerContext context) {
+    context.writeAndFlush(FrameProto.newBuilder().setHello(hello).build());
+  }
+
+  @Override
+  protected void channelRead0(ChannelHandlerContext context, FrameProto frame) {
+    if (frame.hasHello()) {
+      greet(context, frame.getHello());
+    } else if (peer == null) {
+      logger.atWarning().log("link-closed reason=no-hello remote=%s", remote(context));
+      context.close();
+    } else if (!frame.hasHeartbeat()) {
+      listener.onFrame(peer, frame);
+    }
+  }
+
+  @Override
+  public void userEventTriggered(ChannelHandlerContext context, Object event) {
+    if (!(event instanceof IdleStateEvent idle)) {
+      return;
+    }
+    if (idle.state() == IdleState.READER_IDLE) {
+      logger.atInfo().log("link-closed reason=silent peer=%s", peer);
+      context.close();
+    } else if (idle.state() == IdleState.WRITER_IDLE) {
+      context.writeAndFlush(HEARTBEAT);
+    }
+  }
+
+  @Override
+  public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
+    logger.atInfo().log("link-closed reason=%s peer=%s", cause, peer);
+    context.close();
+  }
+
+  private void greet(ChannelHandlerContext context, HelloProto theirs) {
+    if (theirs.getProtocolVersion() != PROTOCOL_VERSION) {
+      logger.atSevere().log(
+          "link-closed reason=protocol-version theirs=%d ours=%d",
+          theirs.getProtocolVersion(), PROTOCOL_VERSION);
+      context.close();
+      return;
+    }
+    peer = StorageCodec.fromProto(theirs.getMember());
+    listener.onLinked(peer);
+  }
+
+  private static Object remote(ChannelHandlerContext context) {
+    return context.channel().remoteAddress();
+  }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/plantainknot/daemon/member/LinkInitializer.java
@@ -0,0 +1,42 @@
+package org.plantainknot.daemon.member;
+
+import io.netty.channel.ChannelHandler;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.socket.SocketChannel;
+import io.netty.handler.codec.LengthFieldBasedFrameDecoder;
+import io.netty.handler.codec.LengthFieldPrepender;
+import io.netty.handler.codec.protobuf.ProtobufDecoder;
+import io.netty.handler.codec.protobuf.ProtobufEncoder;
+import io.netty.handler.timeout.IdleStateHandler;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Supplier;
+import org.plantainknot.wire.member.FrameProto;
+
+/** Sets up the pipeline of a link: frames of protobuf with their length, and watch over silence. */
+final class LinkInitializer extends ChannelInitializer<SocketChannel> {
+
+  static final long HEARTBEAT_MILLIS = 250;
+  static final long SILENCE_MILLIS = 1_000;
+
+  private static final int MAX_FRAME_BYTES = 256 << 20;
+  private static final int LENGTH_BYTES = 4;
+
+  private final Supplier<ChannelHandler> handlers;
+
+  LinkInitializer(Supplier<ChannelHandler> handlers) {
+    this.handlers = handlers;
+  }
+
+  @Override
+  protected void initChannel(SocketChannel channel) {
+    channel
+        .pipeline()
+        .addLast(new IdleStateHandler(SILENCE_MILLIS, HEARTBEAT_MILLIS, 0, TimeUnit.MILLISECONDS))
+        .addLast(
+            new LengthFieldBasedFrameDecoder(MAX_FRAME_BYTES, 0, LENGTH_BYTES, 0, LENGTH_BYTES))
+        .addLast(new ProtobufDecoder(FrameProto.getDefaultInstance()))
+        .addLast(new LengthFieldPrepender(LENGTH_BYTES))
+        .addLast(new ProtobufEncoder())
+        .addLast(handlers.get());
+  }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/plantainknot/daemon/package-info.java
@@ -0,0 +1,2 @@
+/** The daemon, one process on each entry VM. */
+package org.plantainknot.daemon;
--- /dev/null
+++ b/daemon/src/main/java/org/plantainknot/daemon/platform/package-info.java
@@ -0,0 +1,2 @@
+/** The platform: reboots of VMs. */
+package org.plantainknot.daemon.platform;
--- /dev/null
+++ b/daemon/src/main/java/org/plantainknot/daemon/settings/HostPort.java
@@ -0,0 +1,29 @@
+package org.plantainknot.daemon.settings;
+
+import java.util.Optional;
+
+/**
+ * Address of a listener.
+ *
+ * @param host IP number
+ * @param port port
+ */
+public record HostPort(String host, int port) {
+
+  /** Reads {@code host:port}, or returns empty if it isn't one. */
+  public static Optional<HostPort> parse(String text) {
+    int colon = text.lastIndexOf(':');
+    if (colon <= 0) {
+      return Optional.empty();
+    }
+    String host = text.substring(0, colon);
+    String port = text.substring(colon + 1);
+    boolean valid = ValueKind.HOST.allows(host, 0, 0) && ValueKind.NUMBER.allows(port, 1, 65_535);
+    return valid ? Optional.of(new HostPort(host, Integer.parseInt(port))) : Optional.empty();
+  }
+
+  @Override
+  public String toString() {
+    return host + ":" + port;
+  }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/plantainknot/daemon/settings/package-info.java
@@ -0,0 +1,2 @@
+/** Settings of the daemon: the INI file, its checks and its defaults. */
+package org.plantainknot.daemon.settings;
--- /dev/null
+++ b/daemon/src/main/java/org/plantainknot/daemon/storage/MemoryStorage.java
@@ -0,0 +1,38 @@
+package org.plantainknot.daemon.storage;
+
+import java.util.List;
+import org.plantainknot.core.replica.Entry;
+import org.plantainknot.core.replica.LogRecord;
+import org.plantainknot.core.replica.MemberId;
+import org.plantainknot.core.replica.Snapshot;
+import org.plantainknot.core.replica.StoredState;
+
+/** Storage of a member that doesn't vote: it keeps nothing and starts anew each time. */
+public final class MemoryStorage implements ReplicaStorage {
+
+  private final MemberId member;
+
+  /** Creates the storage of a process. */
+  public MemoryStorage(String node, String process) {
+    this.member = new MemberId(node, process);
+  }
+
+  @Override
+  public MemberId member() {
+    return member;
+  }
+
+  @Override
+  public StoredState stored() {
+    return StoredState.EMPTY;
+  }
+
+  @Override
+  public void append(List<LogRecord> records) {}
+
+  @Override
+  public void compact(Snapshot snapshot, List<Entry> rest) {}
+
+  @Override
+  public void close() {}
+}
--- /dev/null
+++ b/daemon/src/main/java/org/plantainknot/daemon/storage/StorageException.java
@@ -0,0 +1,15 @@
+package org.plantainknot.daemon.storage;
+
+import org.plantainknot.core.error.ErrorCode;
+import org.plantainknot.core.error.PlantainknotException;
+
+/** The data folder can't be read or written; the process must not go on with it. */
+public final class StorageException extends PlantainknotException {
+
+  StorageException(String message, Throwable cause) {
+    super(ErrorCode.INTERNAL, message);
+    if (cause != null) {
+      initCause(cause);
+    }
+  }
+}
