--- /dev/null
+++ b/bench/src/main/java/org/plantainknot/bench/standin/package-info.java
@@ -0,0 +1,2 @@
+/** Stand-ins for targets and the platform. */
+package org.plantainknot.bench.standin;
--- a/core/src/main/java/org/plantainknot/core/admission/Refusal.java
+++ b/core/src/main/java/org/plantainknot/core/admission/Refusal.java
@@ -10,6 +10,8 @@
   NO_TARGET("no target is available"),
   /** A target has failed the request, and it may not be tried again. */
   NO_RETRY("no further attempt is allowed"),
+  /** The caller has hung up. */
+  CALLER_GONE("the caller has gone"),
   /** This gateway may not give out work at the moment. */
   NO_LEASE("this gateway holds no lease"),
   /** This gateway is stopping. */
--- a/daemon/src/main/java/org/plantainknot/daemon/caller/Gateway.java
+++ b/daemon/src/main/java/org/plantainknot/daemon/caller/Gateway.java
@@ -142,17 +142,17 @@
   }
 
   private CallerAnswer refuseAtOnce(CallerRequest request) {
+    Service service = table.services().get(request.service());
+    boolean idempotent = service != null && service.isIdempotent(request.method().name());
     if (stopping.get()) {
-      return CallerAnswer.notRun(Refusal.STOPPING.reason());
+      return request.declined(idempotent, Refusal.STOPPING.reason());
     }
     if (!node.mayWork()) {
-      return CallerAnswer.notRun(Refusal.NO_LEASE.reason());
+      return request.declined(idempotent, Refusal.NO_LEASE.reason());
     }
-    Service service = table.services().get(request.service());
     if (service == null) {
       return CallerAnswer.notRun(404, "no service " + request.service() + " is in force");
     }
-    boolean idempotent = service.isIdempotent(request.method().name());
     if (!idempotent && (request.key() == null || request.issuedMillis() == 0)) {
       return CallerAnswer.notRun(
           400,
--- a/daemon/src/main/java/org/plantainknot/daemon/caller/Headers.java
+++ b/daemon/src/main/java/org/plantainknot/daemon/caller/Headers.java
@@ -15,6 +15,9 @@
   /** Time at which the caller issued the request, in milliseconds since 1970. */
   public static final String ISSUED_MILLIS = "Plantainknot-Issued-Millis";
 
+  /** Number of this attempt at the request, from 1; without it the request may be a resend. */
+  public static final String ATTEMPT = "Plantainknot-Attempt";
+
   /** Time that is left until the answer is needed, in milliseconds. */
   public static final String DEADLINE_MILLIS = "Plantainknot-Deadline-Millis";
 
--- a/daemon/src/main/java/org/plantainknot/daemon/caller/PoolShard.java
+++ b/daemon/src/main/java/org/plantainknot/daemon/caller/PoolShard.java
@@ -57,11 +57,13 @@
     perform(router.release(slot, service, outcome, Clock.nowMillis()));
   }
 
-  /** Forgets a request that still waits, since its caller has gone. */
-  void cancel(QueuedRequest request) {
-    if (router.cancel(request)) {
+  /** Forgets a request whose caller has gone, or returns false if it doesn't wait. */
+  boolean cancel(QueuedRequest request) {
+    boolean waited = router.cancel(request);
+    if (waited) {
       waiters.remove(request);
     }
+    return waited;
   }
 
   void update(Collection<RoutableVm> vms, int minAvailable) {
--- a/daemon/src/main/java/org/plantainknot/daemon/caller/RequestParser.java
+++ b/daemon/src/main/java/org/plantainknot/daemon/caller/RequestParser.java
@@ -14,6 +14,7 @@
 final class RequestParser {
 
   private static final int MAX_HEADERS = 100;
+  private static final long MAX_ATTEMPT = 1_000_000;
   private static final int MAX_KEY_LENGTH = 128;
   private static final String NAME_PATTERN = "[\\x21-\\x7e]{1," + MAX_KEY_LENGTH + "}";
 
@@ -33,6 +34,7 @@
     long timeoutMillis =
         number(request, Headers.DEADLINE_MILLIS, 1, requestMaxMillis, requestMaxMillis, findings);
     long issuedMillis = number(request, Headers.ISSUED_MILLIS, 1, Long.MAX_VALUE, 0, findings);
+    long attempt = number(request, Headers.ATTEMPT, 1, MAX_ATTEMPT, 0, findings);
     ClaimKey key = keyOf(request, findings);
     findings.throwIfAny("the request can't be run");
     Buffer body = context.body().buffer() == null ? Buffer.buffer() : context.body().buffer();
@@ -45,7 +47,8 @@
         kind,
         Clock.nowMillis() + timeoutMillis,
         key,
-        issuedMillis);
+        issuedMillis,
+        attempt);
   }
 
   private static WorkKind kindOf(HttpServerRequest request, Findings findings) {
@@ -72,7 +75,7 @@
     } catch (NumberFormatException e) {
       // Reported below together with numbers out of range.
     }
-    found.add(header, "must be a whole number of milliseconds from " + min + " to " + max);
+    found.add(header, "must be a whole number from " + min + " to " + max);
     return absent;
   }
 
--- a/daemon/src/main/java/org/plantainknot/daemon/caller/RequestRun.java
+++ b/daemon/src/main/java/org/plantainknot/daemon/caller/RequestRun.java
@@ -14,9 +14,11 @@
 import org.plantainknot.core.admission.Refusal;
 import org.plantainknot.core.claim.Claim;
 import org.plantainknot.core.claim.ClaimOutcome;
+import org.plantainknot.core.claim.ClaimVerdict;
 import org.plantainknot.core.claim.StoredAnswer;
 import org.plantainknot.core.control.Command;
 import org.plantainknot.core.control.Result;
+import org.plantainknot.core.error.PlantainknotException;
 import org.plantainknot.core.routing.Slot;
 import org.plantainknot.core.routing.TargetOutcome;
 import org.plantainknot.daemon.control.Clock;
@@ -25,7 +27,7 @@
 import org.plantainknot.daemon.target.TargetReply;
 
 /**
- * Run of one request: a slot, for a non-idempotent request a claim, then the target.
+ * Run of one request: for a non-idempotent one a claim, then a slot, then the target.
  *
  * <p>"Not run" is said only while nothing was sent to a target. A non-idempotent request is sent at
  * most once after its claim was granted.
@@ -43,6 +45,7 @@
   private final QueuedRequest queued;
   private final String attempt = UUID.randomUUID().toString();
   private boolean claimed;
+  private boolean cancelled;
   private boolean sent;
 
   RequestRun(
@@ -63,40 +66,23 @@
 
   /** Runs the request; the answer always comes. */
   Uni<CallerAnswer> start() {
-    return runWith(shard.acquire(queued));
-  }
-
-  /** Frees the request's place if it still waits. */
-  void cancel() {
-    shard.cancel(queued);
-  }
-
-  private Uni<CallerAnswer> runWith(Uni<Slot> slot) {
-    return slot.emitOn(eventLoop)
-        .onItem()
-        .transformToUni(this::runOn)
-        .onFailure(RefusedException.class)
-        .recoverWithItem(e -> refused(e.refusal()));
-  }
-
-  private CallerAnswer refused(Refusal refusal) {
-    if (sent) {
-      return CallerAnswer.mayHaveRun(refusal.reason());
-    }
-    closeClaim(ClaimOutcome.NOT_RUN, null);
-    return CallerAnswer.notRun(refusal.reason());
-  }
-
-  private Uni<CallerAnswer> runOn(Slot slot) {
-    if (idempotent || claimed) {
-      return dispatch(slot);
+    if (idempotent) {
+      return runWith(shard.acquire(queued));
     }
     return claim()
         .emitOn(eventLoop)
         .onItem()
-        .transformToUni(result -> onClaimed(slot, (Result.Claimed) result))
-        .onFailure(e -> !(e instanceof RefusedException))
-        .recoverWithUni(e -> unclaimed(slot, CallerAnswer.notRun("the claim was not confirmed")));
+        .transformToUni(result -> onClaimed((Result.Claimed) result))
+        .onFailure(PlantainknotException.class)
+        .recoverWithItem(this::onUnconfirmed);
+  }
+
+  /** Frees the request's place if it still waits; called on the event loop. */
+  void cancel() {
+    cancelled = true;
+    if (shard.cancel(queued)) {
+      closeClaim(ClaimOutcome.NOT_RUN, null);
+    }
   }
 
   private Uni<Result> claim() {
@@ -109,37 +95,60 @@
             attempt,
             ClaimOutcome.OPEN,
             null);
-    claimed = true;
     long leftMillis = Math.max(1, request.deadlineMillis() - Clock.nowMillis());
     return node.submit(attempt, new Command.OpenClaim(claim), leftMillis);
   }
 
-  private Uni<CallerAnswer> onClaimed(Slot slot, Result.Claimed result) {
+  private Uni<CallerAnswer> onClaimed(Result.Claimed result) {
+    if (result.verdict() == ClaimVerdict.GRANTED) {
+      claimed = true;
+      return cancelled
+          ? Uni.createFrom().item(refused(Refusal.CALLER_GONE))
+          : runWith(shard.acquire(queued));
+    }
+    return Uni.createFrom().item(answerWithoutClaim(result));
+  }
+
+  private CallerAnswer answerWithoutClaim(Result.Claimed result) {
     switch (result.verdict()) {
-      case GRANTED:
-        return dispatch(slot);
       case ANSWERED:
-        return unclaimed(slot, storedAnswer(result.answer()));
+        return storedAnswer(result.answer());
       case IN_PROGRESS:
-        return unclaimed(slot, CallerAnswer.inProgress());
+        return CallerAnswer.inProgress();
       case MAY_HAVE_RUN:
-        return unclaimed(slot, CallerAnswer.mayHaveRun("an earlier attempt may have run"));
-      case TOO_OLD:
-        return unclaimed(
-            slot,
-            CallerAnswer.notRun(400, "the request was issued too long ago, or in the future"));
+        return CallerAnswer.mayHaveRun("an earlier attempt may have run");
       case OTHER_CONTENT:
-        return unclaimed(
-            slot, CallerAnswer.notRun(422, "the key was used for a request with other content"));
+        return CallerAnswer.notRun(422, "the key was used for a request with other content");
+      case TOO_OLD:
+        return request.declined(false, "the request was issued too long ago, or in the future");
       default:
-        return unclaimed(slot, CallerAnswer.notRun("no more requests can be claimed"));
+        return request.declined(false, "no more requests can be claimed");
     }
   }
 
-  private Uni<CallerAnswer> unclaimed(Slot slot, CallerAnswer answer) {
+  /** The claim may still be granted, and must then not be left open. */
+  private CallerAnswer onUnconfirmed(Throwable failure) {
+    claimed = true;
+    closeClaim(ClaimOutcome.NOT_RUN, null);
+    return request.declined(false, "the claim was not confirmed");
+  }
+
+  private Uni<CallerAnswer> runWith(Uni<Slot> slot) {
+    return slot.emitOn(eventLoop)
+        .onItem()
+        .transformToUni(this::dispatch)
+        .onFailure(RefusedException.class)
+        .recoverWithItem(e -> refused(e.refusal()));
+  }
+
+  private CallerAnswer refused(Refusal refusal) {
+    if (sent) {
+      return CallerAnswer.mayHaveRun(refusal.reason());
+    }
     closeClaim(ClaimOutcome.NOT_RUN, null);
-    shard.release(slot, request.service(), TargetOutcome.UNUSED);
-    return Uni.createFrom().item(answer);
+    return claimed
+        ? CallerAnswer.notRun(refusal.reason())
+        : request.declined(idempotent, refusal.reason());
   }
 
   /** The last look at the lease and the clock comes right before the first byte. */
