Count a target that announces a new start as seen at that time

Cause: the leader learns of renewals with the gateways' lease requests, up to 285 ms after the announcement is in the log. An instance it had not heard of counted as silent since its election, so that each VM back from a reboot was marked gone at once and three of them paused the wave. Ruled out: slow drains (all within 0.4 s), the platform (reboots took 1.0 s). Change: an instance not yet heard of counts as seen when it is first met.

--- a/core/src/main/java/org/plantainknot/core/rollout/Coordinator.java
+++ b/core/src/main/java/org/plantainknot/core/rollout/Coordinator.java
@@ -149,7 +149,8 @@
         continue;
       }
       String instance = vm.announcement().instance();
-      if (nowMillis - sightings.lastSeenMillis(vm.name(), instance) > timing.goneMillis()) {
+      if (nowMillis - sightings.lastSeenMillis(vm.name(), instance, nowMillis)
+          > timing.goneMillis()) {
         commands.add(new Command.MarkGone(vm.name(), instance));
         targetLosses.add(nowMillis);
       }
--- a/core/src/main/java/org/plantainknot/core/rollout/Sightings.java
+++ b/core/src/main/java/org/plantainknot/core/rollout/Sightings.java
@@ -9,22 +9,19 @@
   private record Sighting(String instance, long atMillis) {}
 
   private final Map<String, Sighting> latestByVm = new HashMap<>();
-  private final long sinceMillis;
-
-  /** Starts to collect; a target not yet heard of counts as seen at this time. */
-  public Sightings(long nowMillis) {
-    this.sinceMillis = nowMillis;
-  }
 
   /** Notes that a target announced itself. */
   public void seen(String vm, String instance, long nowMillis) {
     latestByVm.put(vm, new Sighting(instance, nowMillis));
   }
 
-  /** Returns the time at which the instance was last heard of. */
-  public long lastSeenMillis(String vm, String instance) {
+  /** Returns the time at which the instance was last heard of; a new one counts as seen now. */
+  public long lastSeenMillis(String vm, String instance, long nowMillis) {
     Sighting latest = latestByVm.get(vm);
-    boolean same = latest != null && latest.instance().equals(instance);
-    return same ? latest.atMillis() : sinceMillis;
+    if (latest == null || !latest.instance().equals(instance)) {
+      seen(vm, instance, nowMillis);
+      return nowMillis;
+    }
+    return latest.atMillis();
   }
 }
--- a/daemon/src/main/java/org/plantainknot/daemon/control/Office.java
+++ b/daemon/src/main/java/org/plantainknot/daemon/control/Office.java
@@ -30,7 +30,7 @@
   Office(
       DaemonSettings settings, ControlState state, Predicate<String> isRebooted, long nowMillis) {
     this.leases = new LeaseTable(settings.leaseTiming(), nowMillis);
-    this.sightings = new Sightings(nowMillis);
+    this.sightings = new Sightings();
     this.coordinator =
         new Coordinator(settings.rolloutTiming(), state, leases, sightings, isRebooted, nowMillis);
   }
