--- a/bench/src/main/java/org/plantainknot/bench/cluster/SiteLayout.java
+++ b/bench/src/main/java/org/plantainknot/bench/cluster/SiteLayout.java
@@ -48,7 +48,7 @@
     List<PoolState> pools = services.stream().map(s -> new PoolState(poolOf(s))).toList();
     List<ServiceState> states =
         services.stream()
-            .map(s -> new ServiceState(s, poolOf(s), minAvailableVms, FailureDomain.RACK, null))
+            .map(s -> new ServiceState(s, poolOf(s), budgetOf(s), FailureDomain.RACK, null))
             .toList();
     List<VmState> vmStates = new ArrayList<>();
     for (int i = 0; i < vms; i++) {
@@ -58,6 +58,12 @@
         number, Ticket.ON_APPROVAL, "initial state", pools, states, vmStates, List.of());
   }
 
+  /** Returns the budget of a service; that of the spare pool is one lower. */
+  public int budgetOf(String service) {
+    boolean spare = service.equals(services.get(services.size() - 1));
+    return spare ? minAvailableVms - 1 : minAvailableVms;
+  }
+
   /** Returns the name of a service's pool. */
   public static String poolOf(String service) {
     return service + "-pool";
--- a/core/src/main/java/org/plantainknot/core/fleet/FailureDomain.java
+++ b/core/src/main/java/org/plantainknot/core/fleet/FailureDomain.java
@@ -22,6 +22,11 @@
     this.domainOf = domainOf;
   }
 
+  /** Returns the number of VMs that the loss of one domain takes at the least. */
+  public int leastLoss() {
+    return domainOf == null ? 0 : 1;
+  }
+
   /** Returns the number of VMs that the loss of one domain can take. */
   public long largest(Collection<Announcement> announcements) {
     if (domainOf == null) {
