--- a/core/src/main/java/org/plantainknot/core/replica/Leadership.java
+++ b/core/src/main/java/org/plantainknot/core/replica/Leadership.java
@@ -75,6 +75,14 @@
     return nowMillis - Math.max(heardAt, electedAtMillis) <= withinMillis;
   }
 
+  /** Returns whether the voters that a change adds hold everything up to the index. */
+  boolean newVotersHold(long index, Membership membership, Membership changed) {
+    return changed.voters().entrySet().stream()
+        .map(v -> new MemberId(v.getKey(), v.getValue()))
+        .filter(member -> !membership.isVoter(member))
+        .allMatch(member -> matchIndexOf(member) >= index);
+  }
+
   private long ackedRoundOf(MemberId member) {
     Progress progress = progressByMember.get(member);
     return progress == null ? 0 : progress.ackedRound();
--- a/core/src/main/java/org/plantainknot/core/replica/Replica.java
+++ b/core/src/main/java/org/plantainknot/core/replica/Replica.java
@@ -232,14 +232,20 @@
     }
   }
 
+  /**
+   * Votes without regard to the own membership, which may be older than the candidate's: the
+   * candidate counts the vote only if its membership names this very incarnation.
+   */
   private void onVoteRequest(MemberId sender, VoteRequest request, long nowMillis) {
-    if (!isVoter() || isLeaderFresh(request, nowMillis)) {
+    if (isLeaderFresh(request, nowMillis)) {
       return;
     }
     if (!request.preVote() && request.term() > election.term()) {
       becomeFollower(request.term(), null, nowMillis);
     }
-    boolean granted = isUpToDate(request) && election.mayVoteFor(sender, request);
+    boolean granted =
+        log.isCoveredBy(request.lastIndex(), request.lastTerm())
+            && election.mayVoteFor(sender, request);
     if (granted && !request.preVote()) {
       election.voteFor(sender, nowMillis);
     }
@@ -252,11 +258,6 @@
     return !request.handOver() && (role == Role.LEADER || election.isLeaderFresh(nowMillis));
   }
 
-  private boolean isUpToDate(VoteRequest request) {
-    return request.lastTerm() > log.lastTerm()
-        || (request.lastTerm() == log.lastTerm() && request.lastIndex() >= log.lastIndex());
-  }
-
   private void onVoteReply(MemberId sender, VoteReply reply, long nowMillis) {
     if (!reply.granted()) {
       if (reply.term() > election.term()) {
@@ -429,13 +430,8 @@
     boolean settled =
         log.termAt(commitIndex) == election.term()
             && membership().equals(log.membershipAt(commitIndex));
-    boolean caughtUp =
-        changed.voters().entrySet().stream()
-            .map(v -> new MemberId(v.getKey(), v.getValue()))
-            .filter(m -> !membership().isVoter(m))
-            .allMatch(m -> leadership.matchIndexOf(m) >= commitIndex);
     return settled
-        && caughtUp
+        && leadership.newVotersHold(commitIndex, membership(), changed)
         && !changed.voters().isEmpty()
         && changed.isOneStepFrom(membership());
   }
--- a/core/src/main/java/org/plantainknot/core/replica/ReplicaLog.java
+++ b/core/src/main/java/org/plantainknot/core/replica/ReplicaLog.java
@@ -50,6 +50,12 @@
     return contains(index) ? entryAt(index).term() : -1;
   }
 
+  /** Returns whether a log that ends as given is at least as new as this one. */
+  boolean isCoveredBy(long otherLastIndex, long otherLastTerm) {
+    return otherLastTerm > lastTerm()
+        || (otherLastTerm == lastTerm() && otherLastIndex >= lastIndex());
+  }
+
   boolean contains(long index) {
     return index > snapshot.lastIndex() && index <= lastIndex();
   }
