--- /dev/null
+++ b/bench/src/main/java/org/plantainknot/bench/measure/FailoverMeasurement.java
@@ -0,0 +1,146 @@
+package org.plantainknot.bench.measure;
+
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.atomic.AtomicInteger;
+import org.plantainknot.bench.cluster.NodeLayout;
+import org.plantainknot.bench.cluster.OperatorClient;
+import org.plantainknot.bench.load.CallerLoad;
+import org.plantainknot.bench.load.RequestRecord.Verdict;
+import org.plantainknot.core.ticket.Ticket;
+import org.plantainknot.core.ticket.Ticket.PoolState;
+
+/** What the loss of the leader costs, and what the log carries, on real daemons. */
+final class FailoverMeasurement {
+
+  private static final int BASE_PORT = 25_000;
+  private static final int TICKETS = 1_000;
+  private static final int THREADS = 16;
+  private static final long LIMIT_MILLIS = 20_000;
+  private static final long COMMIT_MILLIS = 4_000;
+  private static final long DEADLINE_MILLIS = 1_500;
+
+  private final long seed;
+  private long nextNumber = 10;
+
+  FailoverMeasurement(long seed) {
+    this.seed = seed;
+  }
+
+  ObjectNode run() {
+    ObjectNode figures = Measurement.figures();
+    figures.put("measurement", "failover").put("seed", seed).put("source", "daemons");
+    try (DaemonSite site = new DaemonSite(BASE_PORT, seed)) {
+      site.start();
+      measureLosses(site, figures);
+      measureRestart(site, figures);
+    }
+    double parallel = commitsPerSecond(BASE_PORT + 100, "true");
+    double sequential = commitsPerSecond(BASE_PORT + 200, "false");
+    figures.put("commits_per_second", Math.round(parallel));
+    figures.put("commits_per_second_sequential", Math.round(sequential));
+    figures.put("parallel_sync_gain", Math.round(parallel / sequential * 1_000) / 1_000.0);
+    return figures;
+  }
+
+  private void measureLosses(DaemonSite site, ObjectNode figures) {
+    CallerLoad load = new CallerLoad(site.vertx(), site.balancer(), DEADLINE_MILLIS, seed);
+    Thread sender = new Thread(() -> send(load), "load");
+    sender.start();
+    OperatorClient.sleep(1_000);
+    String killed = site.operator().leader();
+    site.cluster().process(killed).kill();
+    figures.put("kill_unavailable_millis", unavailableMillis(site, killed));
+    site.cluster().start(killed);
+    OperatorClient.await(LIMIT_MILLIS, () -> site.balancer().healthyCount() == 6);
+    String frozen = site.operator().leader();
+    site.cluster().process(frozen).freeze();
+    figures.put("freeze_unavailable_millis", unavailableMillis(site, frozen));
+    site.cluster().process(frozen).thaw();
+    OperatorClient.await(LIMIT_MILLIS, () -> site.balancer().healthyCount() == 6);
+    sender.interrupt();
+    OperatorClient.await(LIMIT_MILLIS, () -> load.open() == 0);
+    figures.put("caller_requests", load.records().size());
+    figures.put(
+        "caller_failures",
+        load.records().stream().filter(r -> r.verdict() != Verdict.ANSWERED).count());
+  }
+
+  private static void send(CallerLoad load) {
+    for (int i = 0; !Thread.currentThread().isInterrupted(); i++) {
+      load.send(i % 2 == 0 ? "gate" : "office", "normal");
+      OperatorClient.sleep(10);
+    }
+  }
+
+  /** Returns the time until one of the other daemons has a ticket accepted. */
+  private long unavailableMillis(DaemonSite site, String lost) {
+    long from = System.nanoTime();
+    Ticket ticket = ticket(nextNumber++);
+    List<NodeLayout> others =
+        site.cluster().nodes().stream().filter(n -> !n.name().equals(lost)).toList();
+    OperatorClient.await(
+        LIMIT_MILLIS,
+        () ->
+            others.stream()
+                .anyMatch(n -> site.operator().post(n.operator(), "/tickets", ticket) == 200));
+    return (System.nanoTime() - from) / 1_000_000;
+  }
+
+  private void measureRestart(DaemonSite site, ObjectNode figures) {
+    long first = nextNumber;
+    for (; nextNumber < first + TICKETS; nextNumber++) {
+      site.operator().postAny("/tickets", ticket(nextNumber));
+    }
+    long last = nextNumber - 1;
+    String node = site.cluster().voters().get(0);
+    NodeLayout layout =
+        site.cluster().nodes().stream().filter(n -> n.name().equals(node)).findFirst().get();
+    site.cluster().process(node).kill();
+    long from = System.nanoTime();
+    site.cluster().start(node);
+    boolean restarted =
+        OperatorClient.await(
+            LIMIT_MILLIS,
+            () -> site.operator().get(layout.operator(), "/tickets/" + last).isPresent());
+    long took = (System.nanoTime() - from) / 1_000_000;
+    figures.put("restart_1000_tickets_millis", restarted ? took : -1);
+  }
+
+  private double commitsPerSecond(int basePort, String parallelSync) {
+    Map<String, String> settings =
+        Map.of("log.parallelSync", parallelSync, "limits.requestMaxMillis", "2000");
+    try (DaemonSite site = new DaemonSite(basePort, seed, settings)) {
+      site.start();
+      AtomicInteger commits = new AtomicInteger();
+      AtomicInteger number = new AtomicInteger(1_000);
+      long end = System.nanoTime() + COMMIT_MILLIS * 1_000_000;
+      Thread[] threads = new Thread[THREADS];
+      for (int i = 0; i < THREADS; i++) {
+        threads[i] =
+            new Thread(
+                () -> {
+                  while (System.nanoTime() < end) {
+                    Ticket ticket = ticket(number.incrementAndGet());
+                    boolean done = site.operator().postAny("/tickets", ticket) == 200;
+                    commits.addAndGet(done ? 1 : 0);
+                  }
+                });
+        threads[i].start();
+      }
+      for (Thread thread : threads) {
+        thread.join();
+      }
+      return commits.get() * 1_000.0 / COMMIT_MILLIS;
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+      return 0;
+    }
+  }
+
+  private static Ticket ticket(long number) {
+    List<PoolState> pools = List.of(new PoolState("pool" + number));
+    return new Ticket(number, Ticket.ON_APPROVAL, "measure", pools, null, null, null);
+  }
+}
--- /dev/null
+++ b/bench/src/main/java/org/plantainknot/bench/measure/package-info.java
@@ -0,0 +1,2 @@
+/** Measurements; each prints one JSON object as its last line. */
+package org.plantainknot.bench.measure;
