--- a/daemon/src/main/java/org/plantainknot/daemon/control/CommandQueue.java
+++ b/daemon/src/main/java/org/plantainknot/daemon/control/CommandQueue.java
@@ -16,7 +16,9 @@
  * Commands of this process that have not yet come back through the log.
  *
  * <p>A command is sent again when its leader is gone or doesn't answer; applying one twice changes
- * nothing more. Used by the control thread only.
+ * nothing more. The exception is a claim, since a late second copy could claim a request that
+ * nobody waits for any more: it is sent again only if it was surely not taken. Used by the control
+ * thread only.
  */
 final class CommandQueue {
 
@@ -26,11 +28,17 @@
     private final CommandProto proto;
     private final CompletableFuture<Result> result;
     private final long deadlineMillis;
+    private final boolean repeatable;
     private String sentTo;
     private long sentAtMillis;
 
-    Pending(CommandProto proto, CompletableFuture<Result> result, long deadlineMillis) {
+    Pending(
+        CommandProto proto,
+        CompletableFuture<Result> result,
+        long deadlineMillis,
+        boolean repeatable) {
       this.proto = proto;
+      this.repeatable = repeatable;
       this.result = result;
       this.deadlineMillis = deadlineMillis;
     }
@@ -45,7 +53,10 @@
             .setCommandId(commandId)
             .setBody(ByteString.copyFrom(StateCodec.encode(command)))
             .build();
-    Pending replaced = pendingById.put(commandId, new Pending(proto, result, deadlineMillis));
+    Pending replaced =
+        pendingById.put(
+            commandId,
+            new Pending(proto, result, deadlineMillis, !(command instanceof Command.OpenClaim)));
     if (replaced != null) {
       result.whenComplete((r, e) -> complete(replaced.result, r, e));
     }
@@ -55,8 +66,9 @@
   List<CommandProto> takeUnsent(String leader, long nowMillis) {
     List<CommandProto> unsent = new ArrayList<>();
     for (Pending pending : pendingById.values()) {
-      boolean sent =
+      boolean sentLately =
           leader.equals(pending.sentTo) && nowMillis - pending.sentAtMillis < RESEND_MILLIS;
+      boolean sent = pending.repeatable ? sentLately : pending.sentTo != null;
       if (!sent) {
         pending.sentTo = leader;
         pending.sentAtMillis = nowMillis;
