--- /dev/null
+++ b/core/src/main/java/org/plantainknot/core/placement/Worker.java
@@ -0,0 +1,9 @@
+package org.plantainknot.core.placement;
+
+/**
+ * A worker as the platform describes it.
+ *
+ * @param name name of the worker's VM
+ * @param capacity what it has
+ */
+public record Worker(String name, Resources capacity) {}
