--- a/bench/src/main/java/org/plantainknot/bench/cluster/DaemonProcess.java
+++ b/bench/src/main/java/org/plantainknot/bench/cluster/DaemonProcess.java
@@ -23,7 +23,6 @@
             Path.of(System.getProperty("java.home"), "bin", "java").toString(),
             "-Xmx192m",
             "-XX:+UseSerialGC",
-            "-XX:TieredStopAtLevel=1",
             "-cp",
             System.getProperty("java.class.path"),
             "org.plantainknot.daemon.PlantainknotDaemon",
--- a/bench/src/main/java/org/plantainknot/bench/measure/LatencyMeasurement.java
+++ b/bench/src/main/java/org/plantainknot/bench/measure/LatencyMeasurement.java
@@ -21,7 +21,7 @@
 
   private static final int BASE_PORT = 26_000;
   private static final int REQUESTS = 8_000;
-  private static final int WARM_UP = 6_000;
+  private static final int WARM_UP = 12_000;
   private static final int AT_A_TIME = 4;
   private static final double MEDIAN = 50;
   private static final double P99 = 99;
--- /dev/null
+++ b/bench/src/test/java/org/plantainknot/bench/cluster/SilentLinkTest.java
@@ -0,0 +1,87 @@
+package org.plantainknot.bench.cluster;
+
+import static org.testng.Assert.assertFalse;
+import static org.testng.Assert.assertTrue;
+
+import java.util.List;
+import org.plantainknot.bench.standin.SwitchableLink;
+import org.plantainknot.core.ticket.Ticket;
+import org.plantainknot.core.ticket.Ticket.VmState;
+import org.plantainknot.daemon.settings.HostPort;
+import org.testng.annotations.AfterMethod;
+import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.Test;
+
+/** Tests daemons whose links fall silent without being closed. */
+public class SilentLinkTest {
+
+  private static int port = 28_000;
+
+  private ClusterFixture fixture;
+  private SwitchableLink leaderLink;
+  private SwitchableLink gatewayLink;
+
+  @BeforeMethod
+  void start() {
+    fixture = new ClusterFixture(port);
+    leaderLink = linkTo("n1", port + 50);
+    gatewayLink = linkTo("n6", port + 51);
+    port += 60;
+    fixture.start();
+  }
+
+  @AfterMethod(alwaysRun = true)
+  void stop() {
+    fixture.close();
+  }
+
+  @Test
+  void aGatewayThatHearsNothingTakesNoWorkAndDoesNotHoldUpTickets() {
+    gatewayLink.silence(true);
+    assertTrue(fixture.operator.enact(move(2)), "ticket 2 approved");
+    assertTrue(
+        OperatorClient.await(
+            5_000,
+            () -> List.of("IN_FORCE", "COMPLETE").contains(fixture.operator.ticketStatus(2))),
+        "ticket 2 in force within 5 s");
+    NodeLayout cutOff = fixture.cluster.nodes().get(5);
+    assertTrue(
+        OperatorClient.await(2_500, () -> fixture.balancer.healthyCount() == 5), "health fails");
+    assertFalse(
+        fixture.operator.get(cutOff.operator(), "/tickets/2").isPresent(), "no outdated answer");
+    fixture.sendFor(1_000, 100);
+    fixture.awaitAnswers();
+    fixture.checkPromises();
+    gatewayLink.silence(false);
+    fixture.awaitServing(6);
+  }
+
+  @Test
+  void connectionsThatAreForgottenInBetweenAreReplacedWhileNewOnesWork() {
+    leaderLink.forgetOpenConnections();
+    gatewayLink.forgetOpenConnections();
+    assertTrue(
+        OperatorClient.await(8_000, () -> fixture.operator.enact(move(2))), "ticket 2 approved");
+    fixture.awaitServing(6);
+    fixture.sendFor(500, 100);
+    fixture.awaitAnswers();
+    fixture.checkPromises();
+  }
+
+  private SwitchableLink linkTo(String node, int linkPort) {
+    HostPort link = new HostPort(ClusterFixture.HOST, linkPort);
+    HostPort member =
+        fixture.cluster.nodes().stream()
+            .filter(n -> n.name().equals(node))
+            .map(NodeLayout::member)
+            .findFirst()
+            .get();
+    fixture.cluster.reachMemberAt(node, link);
+    return new SwitchableLink(fixture.vertx, link, member);
+  }
+
+  private static Ticket move(long number) {
+    List<VmState> vms = List.of(new VmState(SiteLayout.vmName(1), SiteLayout.poolOf("gate")));
+    return new Ticket(number, Ticket.ON_APPROVAL, "move", null, null, vms, null);
+  }
+}
--- a/daemon/src/main/java/org/plantainknot/daemon/caller/CallerServer.java
+++ b/daemon/src/main/java/org/plantainknot/daemon/caller/CallerServer.java
@@ -6,6 +6,7 @@
 import io.vertx.core.http.HttpServerOptions;
 import io.vertx.core.json.JsonObject;
 import io.vertx.mutiny.core.Context;
+import io.vertx.mutiny.core.Vertx;
 import io.vertx.mutiny.core.http.HttpServer;
 import io.vertx.mutiny.core.http.HttpServerResponse;
 import io.vertx.mutiny.ext.web.Router;
@@ -80,11 +81,23 @@
     CallerRequest request = parser.parse(context);
     Context eventLoop = vertx.getOrCreateContext();
     gateway
-        .run(request, eventLoop::runOnContext, cancel -> context.response().closeHandler(cancel))
+        .run(
+            request,
+            task -> runOn(eventLoop, task),
+            cancel -> context.response().closeHandler(cancel))
         .subscribe()
         .with(answer -> write(context, answer), context::fail);
   }
 
+  private static void runOn(Context eventLoop, Runnable task) {
+    Context current = Vertx.currentContext();
+    if (current != null && current.getDelegate() == eventLoop.getDelegate()) {
+      task.run();
+    } else {
+      eventLoop.runOnContext(task);
+    }
+  }
+
   private static void write(RoutingContext context, CallerAnswer answer) {
     HttpServerResponse response = context.response();
     if (response.closed() || response.ended()) {
--- /dev/null
+++ b/daemon/src/test/java/org/plantainknot/daemon/storage/DiskStorageTest.java
@@ -0,0 +1,182 @@
+package org.plantainknot.daemon.storage;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertFalse;
+import static org.testng.Assert.assertTrue;
+import static org.testng.Assert.expectThrows;
+
+import java.io.IOException;
+import java.nio.ByteBuffer;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.Arrays;
+import java.util.List;
+import org.plantainknot.core.replica.Entry;
+import org.plantainknot.core.replica.LogRecord.Appended;
+import org.plantainknot.core.replica.LogRecord.HardState;
+import org.plantainknot.core.replica.LogRecord.Installed;
+import org.plantainknot.core.replica.LogRecord.Truncated;
+import org.plantainknot.core.replica.MemberId;
+import org.plantainknot.core.replica.Snapshot;
+import org.plantainknot.core.replica.StoredState;
+import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.Test;
+
+/** Tests that a data folder keeps what was synced, and refuses what can't be trusted. */
+public class DiskStorageTest {
+
+  private Path folder;
+
+  @BeforeMethod
+  void createFolder() throws IOException {
+    folder = Files.createTempDirectory("plantainknot-storage");
+  }
+
+  @Test
+  void whatWasAppendedIsThereAfterARestart() {
+    write();
+    StoredState stored = read();
+    assertEquals(stored.hardState(), new HardState(3, new MemberId("n1", "i1")));
+    assertEquals(texts(stored), List.of("one", "two again", "three"));
+  }
+
+  @Test
+  void aDiskKeepsItsIncarnationAndAnEmptyOneGetsAnother() throws IOException {
+    MemberId first = open(folder);
+    assertEquals(open(folder), first);
+    MemberId other = open(Files.createTempDirectory("plantainknot-storage"));
+    assertFalse(other.incarnation().equals(first.incarnation()));
+  }
+
+  @Test
+  void aTornTailIsCutAtEachByte() throws IOException {
+    write();
+    byte[] whole = Files.readAllBytes(log());
+    List<List<String>> afterEachRecord =
+        List.of(
+            List.of(),
+            List.of("one"),
+            List.of("one", "two"),
+            List.of("one"),
+            List.of("one", "two again"),
+            List.of("one", "two again"),
+            List.of("one", "two again", "three"));
+    int records = afterEachRecord.size() - 1;
+    for (int length = whole.length - 1; length >= 0; length--) {
+      Files.write(log(), Arrays.copyOf(whole, length));
+      records -= Files.size(log()) < wholeRecordsEnd(whole, records) ? 1 : 0;
+      assertEquals(texts(read()), afterEachRecord.get(records), "after a cut at byte " + length);
+    }
+    assertEquals(records, 0);
+  }
+
+  /** Returns the byte at which the record with the number, from 1, ends. */
+  private static int wholeRecordsEnd(byte[] bytes, int number) {
+    int end = 0;
+    for (int i = 0; i < number; i++) {
+      end += 8 + ByteBuffer.wrap(bytes, end, 4).getInt();
+    }
+    return end;
+  }
+
+  @Test
+  void aTailOfZerosIsCut() throws IOException {
+    write();
+    byte[] whole = Files.readAllBytes(log());
+    Files.write(log(), Arrays.copyOf(whole, whole.length + 4_096));
+    assertEquals(texts(read()), List.of("one", "two again", "three"));
+  }
+
+  @Test
+  void damageBeforeWholeRecordsIsRefused() throws IOException {
+    write();
+    byte[] bytes = Files.readAllBytes(log());
+    bytes[12] ^= 1;
+    Files.write(log(), bytes);
+    StorageException refused = expectThrows(StorageException.class, this::read);
+    assertTrue(refused.getMessage().contains("damaged at byte 0"), refused.getMessage());
+    assertEquals(Files.readAllBytes(log()), bytes, "nothing is changed by the refusal");
+  }
+
+  @Test
+  void aLogWithoutItsIdentityIsRefused() throws IOException {
+    write();
+    Files.delete(folder.resolve("identity"));
+    expectThrows(StorageException.class, this::read);
+  }
+
+  @Test
+  void theFolderOfAnotherNodeOrOfARunningProcessIsRefused() {
+    try (DiskStorage storage = DiskStorage.open(folder, "n1")) {
+      expectThrows(StorageException.class, () -> DiskStorage.open(folder, "n1"));
+    }
+    expectThrows(StorageException.class, () -> DiskStorage.open(folder, "n2"));
+  }
+
+  @Test
+  void aSnapshotReplacesTheEntriesThatItCovers() {
+    write();
+    try (DiskStorage storage = DiskStorage.open(folder, "n1")) {
+      Snapshot snapshot = new Snapshot(2, 2, null, bytes("state"));
+      storage.compact(snapshot, List.of(entry(3, 3, "three")));
+      storage.append(List.of(new Appended(entry(4, 3, "four"))));
+    }
+    StoredState stored = read();
+    assertEquals(stored.snapshot().lastIndex(), 2);
+    assertEquals(texts(stored), List.of("three", "four"));
+    assertEquals(stored.hardState().term(), 3);
+  }
+
+  @Test
+  void aSnapshotFromTheLeaderReplacesTheWholeLog() {
+    write();
+    try (DiskStorage storage = DiskStorage.open(folder, "n1")) {
+      storage.append(List.of(new Installed(new Snapshot(9, 4, null, bytes("state")))));
+      storage.append(List.of(new Appended(entry(10, 4, "ten"))));
+    }
+    assertEquals(texts(read()), List.of("ten"));
+  }
+
+  private void write() {
+    try (DiskStorage storage = DiskStorage.open(folder, "n1")) {
+      storage.append(List.of(new Appended(entry(1, 1, "one")), new Appended(entry(2, 1, "two"))));
+      storage.append(
+          List.of(
+              new Truncated(2),
+              new Appended(entry(2, 2, "two again")),
+              new HardState(3, new MemberId("n1", "i1"))));
+      storage.append(List.of(new Appended(entry(3, 3, "three"))));
+    }
+  }
+
+  private StoredState read() {
+    try (DiskStorage storage = DiskStorage.open(folder, "n1")) {
+      return storage.stored();
+    }
+  }
+
+  private static MemberId open(Path folder) {
+    try (DiskStorage storage = DiskStorage.open(folder, "n1")) {
+      return storage.member();
+    }
+  }
+
+  private Path log() {
+    return folder.resolve("log-0");
+  }
+
+  private static List<String> texts(StoredState stored) {
+    return stored.entries().stream()
+        .map(entry -> new String(entry.command(), StandardCharsets.UTF_8))
+        .toList();
+  }
+
+  private static Entry entry(long index, long term, String text) {
+    return Entry.ofCommand(index, term, bytes(text));
+  }
+
+  private static byte[] bytes(String text) {
+    return text.getBytes(StandardCharsets.UTF_8);
+  }
+}
