Measure the placement; forget jobs that ended long ago

The measurement's run time had shown that planning went over all jobs ever submitted; it now keeps the latest 10,000 that ended.

--- a/bench/src/main/java/org/plantainknot/bench/measure/ReserveMeasurement.java
+++ b/bench/src/main/java/org/plantainknot/bench/measure/ReserveMeasurement.java
@@ -16,6 +16,7 @@
 final class ReserveMeasurement {
 
   private static final long MAX_MILLIS = 6L * 3_600_000;
+  private static final long PLACEMENT_MILLIS = 900_000;
   private static final int POOLS = 5;
   private static final int VMS = 35;
   private static final int VMS_PER_RACK = 4;
@@ -45,13 +46,23 @@
     figures.put("reserve_bound_vms", 2 * POOLS);
     figures.put("reserve_baseline_vms", (1 + VMS_PER_RACK) * POOLS);
     figures.put("budget_breaks", breaks);
-    figures.putNull("tasks_doubled");
-    figures.putNull("useful_work");
-    figures.putNull("useful_work_baseline");
-    figures.put("not_measured", "job placement is not built yet");
+    measurePlacement(figures);
     return figures;
   }
 
+  private void measurePlacement(ObjectNode figures) {
+    PlacementSimulation product = new PlacementSimulation(seed, true);
+    PlacementSimulation baseline = new PlacementSimulation(seed, false);
+    figures.put("useful_work", round(product.run(PLACEMENT_MILLIS)));
+    figures.put("useful_work_baseline", round(baseline.run(PLACEMENT_MILLIS)));
+    figures.put("tasks_doubled", product.doubled());
+    figures.put("urgent_start_p99_millis", product.urgentStartP99Millis());
+  }
+
+  private static double round(double value) {
+    return Math.round(value * 1_000) / 1_000.0;
+  }
+
   /** Returns the budget breaks over all racks that may be lost, or -1 if the ticket is refused. */
   private static int breaksWithRackLost(SiteLayout site) {
     int breaks = 0;
--- a/core/src/main/java/org/plantainknot/core/placement/Placement.java
+++ b/core/src/main/java/org/plantainknot/core/placement/Placement.java
@@ -1,13 +1,17 @@
 package org.plantainknot.core.placement;
 
+import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.Collection;
 import java.util.Comparator;
+import java.util.Deque;
 import java.util.HashMap;
 import java.util.LinkedHashMap;
+import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import java.util.TreeMap;
 import org.plantainknot.core.admission.WorkKind;
 
@@ -21,11 +25,15 @@
  */
 public final class Placement {
 
+  private static final int MAX_ENDED = 10_000;
+
   private final PlacementTiming timing;
   private final Map<String, WorkerState> workers = new TreeMap<>();
   private final Map<String, JobState> jobs = new LinkedHashMap<>();
   private final Map<String, Resources> quotas = new HashMap<>();
   private final SizeEstimates estimates = new SizeEstimates();
+  private final Set<JobState> open = new LinkedHashSet<>();
+  private final Deque<String> ended = new ArrayDeque<>();
   private long nextOrder;
 
   /** Creates a placement without workers and jobs. */
@@ -69,10 +77,12 @@
     if (state == null) {
       state = new JobState(job, nextOrder++);
       jobs.put(job.id(), state);
+      open.add(state);
       Resources largest = largestFor(job.declared());
       if (!job.declared().fitsInto(largest)) {
         state.leave(
             JobPhase.REFUSED, "needs " + job.declared() + "; the largest worker has " + largest);
+        forgetOldest(state);
       }
     }
     return view(state);
@@ -87,6 +97,7 @@
     state.cancel();
     if (state.phase() == JobPhase.QUEUED) {
       state.leave(JobPhase.CANCELLED, "cancelled");
+      forgetOldest(state);
     } else {
       state.wind(JobPhase.STOPPING);
     }
@@ -115,6 +126,7 @@
       case FAILED -> failed(state, nowMillis);
       default -> vacate(state);
     }
+    forgetOldest(state);
   }
 
   /** Returns what the workers are to be told now. */
@@ -128,12 +140,20 @@
     return orders;
   }
 
+  /** Returns the number of jobs that wait for a worker. */
+  public long waiting() {
+    return open.stream().filter(state -> state.phase() == JobPhase.QUEUED).count();
+  }
+
   /** Returns a job, if it is known. */
   public Optional<JobView> job(String jobId) {
     return Optional.ofNullable(jobs.get(jobId)).map(Placement::view);
   }
 
-  /** Returns all jobs in the order in which they came. */
+  /**
+   * Returns the jobs that have not ended, and the latest that have, in the order in which they
+   * came.
+   */
   public Collection<JobView> jobs() {
     return jobs.values().stream().map(Placement::view).toList();
   }
@@ -151,16 +171,27 @@
     }
   }
 
-  private static void vacate(JobState state) {
+  private void vacate(JobState state) {
     boolean gone = state.isCancelled();
     state.leave(gone ? JobPhase.CANCELLED : JobPhase.QUEUED, gone ? "cancelled" : "");
+    forgetOldest(state);
+  }
+
+  /** Keeps the latest of the jobs that have ended, for reports and resends. */
+  private void forgetOldest(JobState state) {
+    if (state.phase().isEnded() && open.remove(state)) {
+      ended.add(state.job().id());
+      if (ended.size() > MAX_ENDED) {
+        jobs.remove(ended.remove());
+      }
+    }
   }
 
   private void expireLeases(long nowMillis) {
     for (WorkerState worker : workers.values()) {
       List.copyOf(worker.tasks()).stream()
           .filter(task -> nowMillis > task.leaseUntilMillis() + timing.marginMillis())
-          .forEach(Placement::vacate);
+          .forEach(this::vacate);
     }
   }
 
@@ -247,7 +278,7 @@
   private void placeQueued(List<TaskOrder> orders, long nowMillis) {
     Map<String, Resources> usedByTeam = usedByTeam();
     List<JobState> queued =
-        jobs.values().stream()
+        open.stream()
             .filter(state -> state.phase() == JobPhase.QUEUED)
             .sorted(
                 Comparator.comparing((JobState s) -> !isInQuota(s, usedByTeam))
