--- a/bench/src/main/java/org/plantainknot/bench/measure/SlopesMeasurement.java
+++ b/bench/src/main/java/org/plantainknot/bench/measure/SlopesMeasurement.java
@@ -32,6 +32,7 @@
   private static final int COMMANDS = 20_000;
   private static final int RENEWALS_PER_SECOND_AND_VM = 1;
   private static final double LEASES_PER_SECOND = 3.5;
+  private static final int DUTIES_PER_SECOND = 50;
 
   private final long seed;
 
@@ -62,6 +63,10 @@
     figures.put("announce_command_bytes", StateCodec.encode(announce(0, 1)).length);
     figures.put("apply_announce_micros", microsPerCommand(state, vms));
     figures.put("claim_bytes", claimBytes());
+    simulation.runUntil(simulation::isSettled, 10_000);
+    double idleMillis = millisOf(ROUNDS, simulation::duties);
+    figures.put("idle_duties_millis", idleMillis);
+    figures.put("processor_micros_per_second", Math.round(idleMillis * 1_000 * DUTIES_PER_SECOND));
     simulation.file(wave(vms));
     figures.put("planning_millis", planningMillis(simulation));
     return figures;
--- a/bench/src/main/java/org/plantainknot/bench/measure/WaveSimulation.java
+++ b/bench/src/main/java/org/plantainknot/bench/measure/WaveSimulation.java
@@ -53,7 +53,6 @@
   private long nowMillis = START_MILLIS;
   private int moves;
   private int budgetBreaks;
-  private long planningNanos;
 
   WaveSimulation(Ticket initial, Map<String, Announcement> places) {
     this.places.putAll(places);
@@ -77,8 +76,9 @@
     return budgetBreaks;
   }
 
-  long planningNanos() {
-    return planningNanos;
+  /** Returns what the leader has to do now, without doing it. */
+  List<Command> duties() {
+    return coordinator.duties(nowMillis, nowMillis).commands();
   }
 
   /** Files and approves a ticket; the coordinator starts it. */
@@ -122,9 +122,7 @@
       stepTarget(vm);
     }
     hear();
-    long before = System.nanoTime();
     List<Command> commands = coordinator.duties(nowMillis, nowMillis).commands();
-    planningNanos = Math.max(planningNanos, System.nanoTime() - before);
     commands.forEach(this::apply);
     checkBudgets();
   }
--- a/core/src/main/java/org/plantainknot/core/rollout/WavePlanner.java
+++ b/core/src/main/java/org/plantainknot/core/rollout/WavePlanner.java
@@ -3,7 +3,11 @@
 import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.TreeSet;
 import java.util.function.ToIntFunction;
+import java.util.stream.Collectors;
 import org.plantainknot.core.fleet.Budgets;
 import org.plantainknot.core.fleet.Fleet;
 import org.plantainknot.core.fleet.Service;
@@ -34,13 +38,24 @@
 
   /** Returns the names of the VMs that can leave now, without any budget being broken. */
   public List<String> next() {
+    Set<String> changing =
+        fleet.vms().stream()
+            .filter(Vm::isChangePending)
+            .map(Vm::pool)
+            .collect(Collectors.toCollection(TreeSet::new));
+    if (changing.isEmpty()) {
+      return List.of();
+    }
+    Map<String, List<Vm>> membersByPool =
+        fleet.vms().stream()
+            .filter(vm -> vm.pool() != null && changing.contains(vm.pool()))
+            .collect(Collectors.groupingBy(Vm::pool));
     List<String> leaving = new ArrayList<>();
-    fleet.pools().forEach(pool -> planPool(pool.name(), leaving));
+    changing.forEach(pool -> planPool(pool, membersByPool.get(pool), leaving));
     return leaving;
   }
 
-  private void planPool(String pool, List<String> leaving) {
-    List<Vm> members = fleet.vmsIn(pool);
+  private void planPool(String pool, List<Vm> members, List<String> leaving) {
     List<Vm> available = new ArrayList<>(members.stream().filter(Vm::isAvailable).toList());
     List<Vm> candidates =
         new ArrayList<>(
--- a/daemon/src/main/java/org/plantainknot/daemon/control/Leader.java
+++ b/daemon/src/main/java/org/plantainknot/daemon/control/Leader.java
@@ -23,6 +23,8 @@
 
   private static final FluentLogger logger = FluentLogger.forEnclosingClass();
 
+  private static final long IDLE_DUTIES_MILLIS = 20;
+
   private final DaemonSettings settings;
   private final Replica replica;
   private final ControlState state;
@@ -31,6 +33,7 @@
   private final BiConsumer<String, FrameProto> sender;
   private final Runnable flush;
   private Office office;
+  private long dutiesAtMillis;
   private long officeTerm;
   private long officeIndex;
 
@@ -113,9 +116,11 @@
   }
 
   void performDuties(long nowMillis) {
-    if (office == null) {
+    boolean due = nowMillis - dutiesAtMillis >= IDLE_DUTIES_MILLIS || !waiting().isEmpty();
+    if (office == null || !due) {
       return;
     }
+    dutiesAtMillis = nowMillis;
     Office current = office;
     Duties duties = current.duties(nowMillis, Clock.wallMillis());
     for (Command command : duties.commands()) {
