--- /dev/null
+++ b/daemon/src/main/java/org/plantainknot/daemon/target/AnnouncementBody.java
@@ -0,0 +1,53 @@
+package org.plantainknot.daemon.target;
+
+import org.plantainknot.core.error.Findings;
+import org.plantainknot.core.fleet.Announcement;
+
+/**
+ * Body of an announcement.
+ *
+ * @param vm name of the VM
+ * @param instance identifier of this start of the target
+ * @param host address that the target listens on
+ * @param port port that the target listens on
+ * @param dataCenter data centre of the VM
+ * @param rack rack of the VM
+ * @param slots number of requests that it runs at a time
+ * @param connections number of connections that it accepts
+ */
+public record AnnouncementBody(
+    String vm,
+    String instance,
+    String host,
+    int port,
+    String dataCenter,
+    String rack,
+    int slots,
+    int connections) {
+
+  private static final String NAME = "[A-Za-z0-9][A-Za-z0-9._-]{0,62}";
+  private static final int MAX_SLOTS = 10_000;
+
+  /** Returns the announcement, or throws with all findings. */
+  public Announcement checked() {
+    Findings findings = new Findings();
+    checkName(findings, "vm", vm);
+    checkName(findings, "instance", instance);
+    checkName(findings, "dataCenter", dataCenter);
+    checkName(findings, "rack", rack);
+    findings.require(
+        host != null && host.matches("[0-9a-fA-F.:]+"), "host", "must be an IP number");
+    findings.require(port >= 1 && port <= 65_535, "port", "must be from 1 to 65535");
+    findings.require(slots >= 1 && slots <= MAX_SLOTS, "slots", "must be from 1 to " + MAX_SLOTS);
+    findings.require(connections >= slots, "connections", "must be at least as many as slots");
+    findings.throwIfAny("the announcement can't be used");
+    return new Announcement(instance, host, port, dataCenter, rack, slots, connections);
+  }
+
+  private static void checkName(Findings findings, String place, String name) {
+    findings.require(
+        name != null && name.matches(NAME),
+        place,
+        "must be letters, digits, dots, dashes or underscores, at most 63");
+  }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/plantainknot/daemon/target/package-info.java
@@ -0,0 +1,2 @@
+/** Targets: the HTTP client that runs requests, and the announcements. */
+package org.plantainknot.daemon.target;
