Hand the leader's office over only when all it has taken is committed

Change: a stopping leader answers commands with "not leader", so that their senders keep them, commits what it has, asks a voter to take over, and stays 300 ms for stragglers. A frame that can't be sent counts as not sent.

--- a/daemon/src/main/java/org/plantainknot/daemon/Daemon.java
+++ b/daemon/src/main/java/org/plantainknot/daemon/Daemon.java
@@ -29,6 +29,8 @@
   private static final FluentLogger logger = FluentLogger.forEnclosingClass();
   private static final long QUEUE_TICK_MILLIS = 20;
   private static final long STOP_POLL_MILLIS = 20;
+  private static final long RESIGN_MILLIS = 2_000;
+  private static final long STRAGGLER_MILLIS = 300;
   private static final int EXIT_STORAGE = 4;
 
   private final DaemonSettings settings;
@@ -95,7 +97,8 @@
     }
     long leftMillis = Math.max(1, deadlineMillis - Clock.nowMillis());
     boolean left = node.leave(leftMillis).await().atMost(Duration.ofMillis(leftMillis + 1_000));
-    sleep(STOP_POLL_MILLIS);
+    node.resign(RESIGN_MILLIS).await().atMost(Duration.ofMillis(RESIGN_MILLIS + 1_000));
+    sleep(STRAGGLER_MILLIS);
     node.close();
     vertx.close().await().atMost(Duration.ofSeconds(2));
     logger.atInfo().log("stopped node=%s noted-by-leader=%s", settings.node(), left);
--- a/daemon/src/main/java/org/plantainknot/daemon/control/ControlNode.java
+++ b/daemon/src/main/java/org/plantainknot/daemon/control/ControlNode.java
@@ -68,6 +68,7 @@
   private StateListener listener;
   private long seenFleetVersion;
   private boolean flushPosted;
+  private boolean resigning;
   private volatile boolean stopping;
   private volatile boolean ready;
 
@@ -198,19 +199,23 @@
     return Uni.createFrom().completionStage(left);
   }
 
+  /**
+   * Hands the leader's office over, if this node holds it: takes no more commands, so that their
+   * senders keep them, commits what it has, and asks a voter to stand for election.
+   */
+  public Uni<Boolean> resign(long timeoutMillis) {
+    CompletableFuture<Boolean> resigned = new CompletableFuture<>();
+    long deadlineMillis = Clock.nowMillis() + timeoutMillis;
+    control.execute(
+        () -> {
+          resigning = true;
+          awaitResigned(resigned, deadlineMillis);
+        });
+    return Uni.createFrom().completionStage(resigned);
+  }
+
   @Override
   public void close() {
-    control
-        .call(
-            () -> {
-              replica.handOver();
-              drain();
-              return true;
-            })
-        .onFailure()
-        .recoverWithItem(false)
-        .await()
-        .indefinitely();
     control.shutdown();
     writer.close();
     links.close();
@@ -273,13 +278,16 @@
     flushPosted = false;
     long nowMillis = Clock.nowMillis();
     ReplicaStatus status = replica.status();
-    if (status.leader() != null) {
+    if (status.leader() != null && !isResigningLeader()) {
       List<CommandProto> unsent = commands.takeUnsent(status.leader().node(), nowMillis);
       if (status.isLeader()) {
         unsent.forEach(this::propose);
       } else if (!unsent.isEmpty()) {
         ProposeProto proposal = ProposeProto.newBuilder().addAllCommands(unsent).build();
-        links.send(status.leader().node(), FrameProto.newBuilder().setPropose(proposal).build());
+        FrameProto frame = FrameProto.newBuilder().setPropose(proposal).build();
+        if (!links.send(status.leader().node(), frame)) {
+          unsent.forEach(command -> commands.rejected(command.getCommandId()));
+        }
       }
     }
     replica.flush(nowMillis);
@@ -287,13 +295,17 @@
     drain();
   }
 
+  private boolean isResigningLeader() {
+    return resigning && replica.status().isLeader();
+  }
+
   private void propose(CommandProto command) {
     CommandProto stamped = command.toBuilder().setStampMillis(Clock.wallMillis()).build();
     replica.propose(stamped.toByteArray());
   }
 
   private void onPropose(String sender, List<CommandProto> proposed) {
-    if (replica.status().isLeader()) {
+    if (replica.status().isLeader() && !resigning) {
       proposed.forEach(this::propose);
       postFlush();
       return;
@@ -413,4 +425,18 @@
     leaseClient.ask(replica.status().leader(), Clock.nowMillis(), true);
     control.schedule(() -> awaitLeft(left, deadlineMillis), LEAVE_POLL_MILLIS);
   }
+
+  private void awaitResigned(CompletableFuture<Boolean> resigned, long deadlineMillis) {
+    ReplicaStatus status = replica.status();
+    boolean over = status.leader() != null && !status.isLeader();
+    if (over || Clock.nowMillis() >= deadlineMillis) {
+      resigned.complete(over);
+      return;
+    }
+    if (status.isLeader() && status.commitIndex() == status.lastIndex()) {
+      replica.handOver();
+      drain();
+    }
+    control.schedule(() -> awaitResigned(resigned, deadlineMillis), LEAVE_POLL_MILLIS);
+  }
 }
--- a/daemon/src/main/java/org/plantainknot/daemon/member/MemberLinks.java
+++ b/daemon/src/main/java/org/plantainknot/daemon/member/MemberLinks.java
@@ -80,12 +80,14 @@
     addresses.keySet().forEach(this::dial);
   }
 
-  /** Sends a frame, or drops it if the member can't be reached now. */
-  public void send(String node, FrameProto frame) {
+  /** Sends a frame, or drops it and returns false if the member can't be reached now. */
+  public boolean send(String node, FrameProto frame) {
     Channel channel = channels.get(node);
-    if (channel != null && channel.isWritable()) {
+    boolean open = channel != null && channel.isWritable();
+    if (open) {
       channel.writeAndFlush(frame, channel.voidPromise());
     }
+    return open;
   }
 
   /** Returns whether a link to each other member is up. */
