--- a/bench/src/main/java/org/plantainknot/bench/cluster/Cluster.java
+++ b/bench/src/main/java/org/plantainknot/bench/cluster/Cluster.java
@@ -19,6 +19,7 @@
   /** Token of the operator that may do everything. */
   public static final String TOKEN = "demo-token-of-the-approver";
 
+  private static final List<String> FAST_START = List.of("-XX:TieredStopAtLevel=1");
   private static final String HOST = "127.0.0.1";
   private static final int NODES = 6;
   private static final int PORTS_PER_NODE = 3;
@@ -29,6 +30,7 @@
   private final Map<String, DaemonProcess> processes = new LinkedHashMap<>();
   private final SortedMap<String, HostPort> memberAddresses = new TreeMap<>();
   private final Map<String, String> extraSettings;
+  private List<String> javaOptions = FAST_START;
 
   /**
    * Lays a cluster out.
@@ -77,6 +79,11 @@
     memberAddresses.put(node, address);
   }
 
+  /** Lets daemons that are started from now on be compiled for speed instead of a fast start. */
+  public void optimize() {
+    javaOptions = List.of();
+  }
+
   /** Starts all daemons. */
   public void start() {
     nodes.forEach(node -> start(node.name()));
@@ -86,7 +93,7 @@
   public void start(String node) {
     Path settings =
         writeSettings(nodes.stream().filter(n -> n.name().equals(node)).findFirst().get());
-    processes.put(node, DaemonProcess.start(settings, folder.resolve(node + ".log")));
+    processes.put(node, DaemonProcess.start(settings, folder.resolve(node + ".log"), javaOptions));
   }
 
   /** Returns the process of a node. */
--- a/bench/src/main/java/org/plantainknot/bench/cluster/DaemonProcess.java
+++ b/bench/src/main/java/org/plantainknot/bench/cluster/DaemonProcess.java
@@ -4,6 +4,7 @@
 import java.io.UncheckedIOException;
 import java.lang.ProcessBuilder.Redirect;
 import java.nio.file.Path;
+import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.TimeUnit;
 
@@ -17,17 +18,19 @@
   }
 
   /** Starts a daemon with the class path of this process. */
-  public static DaemonProcess start(Path settings, Path log) {
-    List<String> command =
+  public static DaemonProcess start(Path settings, Path log, List<String> javaOptions) {
+    List<String> command = new ArrayList<>();
+    command.add(Path.of(System.getProperty("java.home"), "bin", "java").toString());
+    command.addAll(javaOptions);
+    command.addAll(
         List.of(
-            Path.of(System.getProperty("java.home"), "bin", "java").toString(),
             "-Xmx192m",
             "-XX:+UseSerialGC",
             "-cp",
             System.getProperty("java.class.path"),
             "org.plantainknot.daemon.PlantainknotDaemon",
             "--settings",
-            settings.toString());
+            settings.toString()));
     try {
       return new DaemonProcess(
           new ProcessBuilder(command)
--- a/bench/src/main/java/org/plantainknot/bench/demo/Demo.java
+++ b/bench/src/main/java/org/plantainknot/bench/demo/Demo.java
@@ -106,7 +106,7 @@
     say("starting 6 daemons; logs are in " + folder);
     cluster.start();
     report.check("cluster formed", formCluster());
-    enactByTool(report, SITE.initialTicket(1001), "in-force");
+    enactByTool(report, SITE.initialTicket(1001));
     report.check("all services up", OperatorClient.await(10_000, budgets::allServed));
     budgets.start();
     say("steady demand on 5 services");
@@ -116,11 +116,11 @@
     demand.flood("licensing", true);
     say("ticket 1002 moves two VMs from the office to the gate");
     Ticket move = moveTicket();
-    enactByTool(report, move, "in-force");
+    enactByTool(report, move);
     OperatorClient.sleep(4_000);
     demand.flood("licensing", false);
     say("ticket 1003 orders a maintenance wave over the whole fleet");
-    enactByTool(report, waveTicket(), "in-force");
+    enactByTool(report, waveTicket());
     OperatorClient.sleep(2_500);
     killLeader(report);
     report.check("moves complete", awaitStatus(1002, "COMPLETE", 25_000));
@@ -154,7 +154,7 @@
   }
 
   /** Files and approves a ticket with the command-line tool, as an operator would. */
-  private void enactByTool(DemoReport report, Ticket ticket, String phase) {
+  private void enactByTool(DemoReport report, Ticket ticket) {
     CtlProcess tool = new CtlProcess(options.root(), cluster.operatorAddresses());
     Path file = CtlProcess.writeTicket(folder, ticket);
     boolean filed = tool.run("file", file.toString());
@@ -164,7 +164,7 @@
         OperatorClient.await(
             5_000,
             () -> List.of("IN_FORCE", "COMPLETE").contains(operator.ticketStatus(ticket.number())));
-    report.check("ticket " + ticket.number() + " " + phase, inForce);
+    report.check("ticket " + ticket.number() + " in force", inForce);
     operator
         .getAny("/tickets/" + ticket.number())
         .ifPresent(
--- a/bench/src/main/java/org/plantainknot/bench/measure/LatencyMeasurement.java
+++ b/bench/src/main/java/org/plantainknot/bench/measure/LatencyMeasurement.java
@@ -40,6 +40,7 @@
     ObjectNode figures = Measurement.figures();
     figures.put("measurement", "latency").put("seed", seed).put("source", "daemons");
     try (DaemonSite site = new DaemonSite(BASE_PORT, seed, SERVICE_MILLIS)) {
+      site.cluster().optimize();
       site.start();
       NodeLayout node = site.cluster().nodes().get(5);
       HostPort direct = new HostPort(DaemonSite.HOST, site.cluster().freePort() + 20);
--- a/core/src/main/java/org/plantainknot/core/rollout/Coordinator.java
+++ b/core/src/main/java/org/plantainknot/core/rollout/Coordinator.java
@@ -95,13 +95,13 @@
       String present = gateways.processOf(request.node()).orElse(null);
       boolean same = request.process().equals(present);
       if (request.stopping()) {
-        leaveOffice(request, same);
+        dismiss(request, same);
       } else if (present == null || (!same && leases.isLapsed(present, nowMillis))) {
         commands.add(new Command.GatewayUp(request.node(), request.process()));
       }
     }
-    Map<String, String> nodeByProcess = new HashMap<>(gateways.image().processByNode());
-    nodeByProcess.forEach(
+    Map<String, String> processByNode = gateways.image().processByNode();
+    processByNode.forEach(
         (node, process) -> {
           if (leases.isLapsed(process, nowMillis)) {
             commands.add(new Command.GatewayDown(node, process, false));
@@ -110,7 +110,7 @@
         });
   }
 
-  private void leaveOffice(LeaseRequest request, boolean present) {
+  private void dismiss(LeaseRequest request, boolean present) {
     if (present) {
       commands.add(new Command.GatewayDown(request.node(), request.process(), true));
     }
