--- a/core/src/main/java/org/plantainknot/core/routing/TargetState.java
+++ b/core/src/main/java/org/plantainknot/core/routing/TargetState.java
@@ -61,9 +61,12 @@
     inUse++;
   }
 
-  /** Returns whether the target should be ejected. */
-  boolean release(TargetOutcome outcome) {
+  void free() {
     inUse--;
+  }
+
+  /** Takes an outcome into account, and returns whether the target should be ejected. */
+  boolean judge(TargetOutcome outcome) {
     if (outcome.isFailure()) {
       failuresInRow++;
       return failuresInRow >= FAILURES_TO_EJECT || successesOwed > 0;
