--- a/core/src/main/java/org/plantainknot/core/lease/LeaseTable.java
+++ b/core/src/main/java/org/plantainknot/core/lease/LeaseTable.java
@@ -76,11 +76,6 @@
     grantedAtByProcess.remove(process);
   }
 
-  /** Returns whether requests wait for a round. */
-  public boolean hasPending() {
-    return !pending.isEmpty();
-  }
-
   private boolean keepsUp(LeaseRequest request) {
     return request.appliedIndex() >= olderCommitIndex;
   }
--- a/core/src/main/java/org/plantainknot/core/replica/Role.java
+++ b/core/src/main/java/org/plantainknot/core/replica/Role.java
@@ -9,10 +9,5 @@
   /** Stands for election. */
   CANDIDATE,
   /** Commits entries. */
-  LEADER;
-
-  /** Returns whether the role is part of an election. */
-  public boolean isElecting() {
-    return this == PRE_CANDIDATE || this == CANDIDATE;
-  }
+  LEADER
 }
--- a/core/src/test/java/org/plantainknot/core/placement/PlacementFuzzTest.java
+++ b/core/src/test/java/org/plantainknot/core/placement/PlacementFuzzTest.java
@@ -16,7 +16,7 @@
 public class PlacementFuzzTest {
 
   @Test
-  void noJobRunsTwiceAtATimeOrAfterItsEndAndNoWorkerIsGivenMoreThanItHas() {
+  void noJobRunsTwiceAtATimeOrAfterItsEnd() {
     Fuzz.run(1_000, 100, 700, actions -> new Model().run(actions));
   }
 
