Write failures first when a process ends with log lines waiting

Ruled out: a line lost by the queue (it was there, behind the others), a failing stream. Change: the close of the log writes warnings and errors first, then the rest. Test: closingWritesFailuresBeforeTheLinesThatWait, seen failing ("second failure").

--- a/daemon/src/main/java/org/plantainknot/daemon/log/BoundedLogHandler.java
+++ b/daemon/src/main/java/org/plantainknot/daemon/log/BoundedLogHandler.java
@@ -1,6 +1,8 @@
 package org.plantainknot.daemon.log;
 
 import java.io.PrintStream;
+import java.util.ArrayList;
+import java.util.List;
 import java.util.concurrent.ArrayBlockingQueue;
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.atomic.AtomicLong;
@@ -47,8 +49,7 @@
     if (!isLoggable(line)) {
       return;
     }
-    boolean urgent = line.getLevel().intValue() >= Level.WARNING.intValue();
-    boolean room = urgent || queue.remainingCapacity() > KEPT_FOR_WARNINGS_LINES;
+    boolean room = isUrgent(line) || queue.remainingCapacity() > KEPT_FOR_WARNINGS_LINES;
     unwritten.incrementAndGet();
     if (!room || !queue.offer(line)) {
       unwritten.decrementAndGet();
@@ -61,12 +62,16 @@
     out.flush();
   }
 
-  /** Writes what waits, and awaits the line that is being written; called as the process ends. */
+  /**
+   * Writes what waits, warnings and errors first, and awaits the line that is being written. Called
+   * as the process ends, which may not wait for all lines.
+   */
   @Override
   public void close() {
-    for (LogRecord line = queue.poll(); line != null; line = queue.poll()) {
-      printQueued(line);
-    }
+    List<LogRecord> waiting = new ArrayList<>();
+    queue.drainTo(waiting);
+    waiting.stream().filter(BoundedLogHandler::isUrgent).forEach(this::printQueued);
+    waiting.stream().filter(line -> !isUrgent(line)).forEach(this::printQueued);
     long deadlineNanos = System.nanoTime() + CLOSE_NANOS;
     while (unwritten.get() > 0 && System.nanoTime() < deadlineNanos) {
       Thread.onSpinWait();
@@ -74,6 +79,10 @@
     flush();
   }
 
+  private static boolean isUrgent(LogRecord line) {
+    return line.getLevel().intValue() >= Level.WARNING.intValue();
+  }
+
   private void write() {
     try {
       while (true) {
--- a/daemon/src/test/java/org/plantainknot/daemon/log/BoundedLogHandlerTest.java
+++ b/daemon/src/test/java/org/plantainknot/daemon/log/BoundedLogHandlerTest.java
@@ -81,6 +81,41 @@
     assertTrue(bytes.toString().contains("the last line"));
   }
 
+  /** A process that halts waits only for a while, and the reason for its end is the last line. */
+  @Test
+  void closingWritesFailuresBeforeTheLinesThatWait() throws InterruptedException {
+    ByteArrayOutputStream bytes = new ByteArrayOutputStream();
+    BoundedLogHandler handler = new BoundedLogHandler(new PrintStream(bytes, true));
+    CountDownLatch writing = new CountDownLatch(1);
+    CountDownLatch released = new CountDownLatch(1);
+    handler.setFormatter(
+        new SimpleFormatter() {
+          @Override
+          public String format(LogRecord line) {
+            if (line.getMessage().equals("first")) {
+              writing.countDown();
+              awaitQuietly(released);
+            }
+            return line.getMessage() + " ";
+          }
+        });
+    handler.publish(new LogRecord(Level.INFO, "first"));
+    writing.await();
+    handler.publish(new LogRecord(Level.INFO, "second"));
+    handler.publish(new LogRecord(Level.SEVERE, "failure"));
+    handler.close();
+    released.countDown();
+    assertTrue(bytes.toString().startsWith("failure second "), bytes.toString());
+  }
+
+  private static void awaitQuietly(CountDownLatch latch) {
+    try {
+      latch.await(20, TimeUnit.SECONDS);
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+    }
+  }
+
   private static void pause() {
     try {
       Thread.sleep(100);
