Let voters that were replaced leave, and finish one replacement before the next

Cause: known finding: a node that is gone for good and comes back under another name stayed a voter. After two such replacements five live voters of seven need a majority of four, so that losing two stops the cluster. Read in the code besides: a member that was joining and died, or lost its disk again, stayed the one that is joining as long as the leader led, and kept all others out; and of two lost disks the second could leave before the first was replaced, which left three voters and two disks for each entry where three are to bear two losses. Ruled out: removing any silent voter. At five voters it gains nothing, and it would leave entries on two disks. Change: VoterPlan (core.replica) chooses each change from the membership and from who has answered lately; a voter that is silent for 3 s leaves only where more voters than 2 x lossesToBear + 1 are left; new setting [process] lossesToBear. Test: VoterPlanTest, data by data; the old choice stood in the daemon and could not be called without a cluster, so it was not seen failing.

--- a/core/src/main/java/org/plantainknot/core/replica/Leadership.java
+++ b/core/src/main/java/org/plantainknot/core/replica/Leadership.java
@@ -87,12 +87,17 @@
 
   /** Returns whether the voters that a change adds hold everything up to the index. */
   boolean newVotersHold(long index, Membership membership, Membership changed) {
-    return changed.voters().entrySet().stream()
-        .map(v -> new MemberId(v.getKey(), v.getValue()))
+    return changed.members().stream()
         .filter(member -> !membership.isVoter(member))
         .allMatch(member -> matchIndexOf(member) >= index);
   }
 
+  /** Returns when a member answered last, or when this term's leadership began. */
+  long heardAtMillis(MemberId member) {
+    Progress progress = progressByMember.get(member);
+    return progress == null ? electedAtMillis : Math.max(electedAtMillis, progress.heardAtMillis());
+  }
+
   private long ackedRoundOf(MemberId member) {
     Progress progress = progressByMember.get(member);
     return progress == null ? 0 : progress.ackedRound();
--- a/core/src/main/java/org/plantainknot/core/replica/Membership.java
+++ b/core/src/main/java/org/plantainknot/core/replica/Membership.java
@@ -2,6 +2,7 @@
 
 import java.util.Collection;
 import java.util.Collections;
+import java.util.List;
 import java.util.SortedMap;
 import java.util.TreeMap;
 import java.util.function.ToLongFunction;
@@ -24,6 +25,11 @@
     return member.incarnation().equals(voters.get(member.node()));
   }
 
+  /** Returns the voters, by name. */
+  public List<MemberId> members() {
+    return voters.entrySet().stream().map(v -> new MemberId(v.getKey(), v.getValue())).toList();
+  }
+
   /** Returns the number of voters that form a majority. */
   public int quorum() {
     return voters.size() / 2 + 1;
@@ -36,11 +42,7 @@
 
   /** Returns the highest value that a majority of the voters has reached. */
   public long quorumValue(ToLongFunction<MemberId> valueOf) {
-    long[] ascending =
-        voters.entrySet().stream()
-            .mapToLong(v -> valueOf.applyAsLong(new MemberId(v.getKey(), v.getValue())))
-            .sorted()
-            .toArray();
+    long[] ascending = members().stream().mapToLong(valueOf).sorted().toArray();
     return ascending.length == 0 ? 0 : ascending[ascending.length - quorum()];
   }
 
--- a/core/src/main/java/org/plantainknot/core/replica/Progress.java
+++ b/core/src/main/java/org/plantainknot/core/replica/Progress.java
@@ -6,6 +6,7 @@
   private long nextIndex;
   private long matchIndex;
   private long ackedRound;
+  private long heardAtMillis;
   private long snapshotSentAtMillis = Long.MIN_VALUE / 2;
 
   Progress(long nextIndex) {
@@ -37,7 +38,12 @@
     nextIndex = lastIndex + 1;
   }
 
-  void heard(long round) {
+  long heardAtMillis() {
+    return heardAtMillis;
+  }
+
+  void heard(long round, long nowMillis) {
+    heardAtMillis = nowMillis;
     ackedRound = Math.max(ackedRound, round);
   }
 
--- a/core/src/main/java/org/plantainknot/core/replica/Replica.java
+++ b/core/src/main/java/org/plantainknot/core/replica/Replica.java
@@ -130,6 +130,11 @@
     return Optional.of(entry.index());
   }
 
+  /** Returns when a member answered this leader last, or when this member began to lead. */
+  public long heardAtMillis(MemberId member) {
+    return leadership.heardAtMillis(member);
+  }
+
   /** Sends new entries to all members; called once for a batch of proposals. */
   public void flush(long nowMillis) {
     if (role == Role.LEADER) {
@@ -177,11 +182,6 @@
     return outbox.drain();
   }
 
-  /** Returns the index of the last entry that the snapshot holds, or 0. */
-  public long snapshotIndex() {
-    return log.snapshot().lastIndex();
-  }
-
   /** Returns the number of entries after the snapshot. */
   public int logSize() {
     return log.size();
@@ -337,7 +337,7 @@
       return;
     }
     Progress progress = leadership.progress(sender, log.lastIndex() + 1);
-    progress.heard(reply.round());
+    progress.heard(reply.round(), nowMillis);
     if (reply.success()) {
       progress.matched(reply.matchIndex());
       advanceCommit();
--- /dev/null
+++ b/core/src/test/java/org/plantainknot/core/replica/VoterPlanTest.java
@@ -0,0 +1,75 @@
+package org.plantainknot.core.replica;
+
+import static org.testng.Assert.assertEquals;
+
+import java.util.Arrays;
+import java.util.List;
+import java.util.Set;
+import java.util.TreeMap;
+import org.testng.annotations.Test;
+
+/** Tests which voters join and leave as nodes lose their disks or are replaced. */
+public class VoterPlanTest {
+
+  private final VoterPlan plan = new VoterPlan(2);
+
+  @Test
+  void nothingChangesWhileAllVotersAnswer() {
+    assertEquals(changes(of("a1", "b1", "c1", "d1", "e1"), Set.of()), List.of());
+  }
+
+  @Test
+  void aMemberThatDoesNotVoteJoins() {
+    assertEquals(
+        changes(of("a1", "b1", "c1"), Set.of(), "d1", "e1"),
+        List.of(of("a1", "b1", "c1", "d1"), of("a1", "b1", "c1", "e1")));
+  }
+
+  @Test
+  void aLostDiskLeavesBeforeTheNewOneOfItsNodeJoins() {
+    Membership full = of("a1", "b1", "c1", "d1", "e1");
+    assertEquals(changes(full, Set.of(), "b2"), List.of(of("a1", "c1", "d1", "e1")));
+  }
+
+  @Test
+  void ofTwoLostDisksTheSecondStaysUntilTheFirstIsReplaced() {
+    Membership first = of("a1", "c1", "d1", "e1");
+    assertEquals(changes(first, Set.of(), "b2", "c2"), List.of(of("a1", "b2", "c1", "d1", "e1")));
+  }
+
+  @Test
+  void aVoterThatWasReplacedByAnotherNodeLeavesOnceItIsSilent() {
+    Membership six = of("a1", "b1", "c1", "d1", "e1", "f1");
+    assertEquals(changes(six, Set.of("b")), List.of(of("a1", "c1", "d1", "e1", "f1")));
+  }
+
+  @Test
+  void aSilentVoterStaysWhereEachEntryWouldBeOnTooFewDisks() {
+    assertEquals(changes(of("a1", "b1", "c1", "d1", "e1"), Set.of("b", "c")), List.of());
+  }
+
+  @Test
+  void aSmallClusterReplacesALostDiskToo() {
+    assertEquals(changes(of("a1", "b1", "c1"), Set.of(), "c2"), List.of(of("a1", "b1")));
+  }
+
+  private List<Membership> changes(Membership membership, Set<String> silent, String... outside) {
+    return plan.changes(
+        membership,
+        Arrays.stream(outside).map(VoterPlanTest::member).toList(),
+        member -> silent.contains(member.node()));
+  }
+
+  /** Returns the membership of voters that are named by node and number of the disk. */
+  private static Membership of(String... names) {
+    TreeMap<String, String> voters = new TreeMap<>();
+    for (String name : names) {
+      voters.put(member(name).node(), member(name).incarnation());
+    }
+    return new Membership("cluster", voters);
+  }
+
+  private static MemberId member(String name) {
+    return new MemberId(name.substring(0, 1), name.substring(1));
+  }
+}
--- a/daemon/src/main/java/org/plantainknot/daemon/control/VoterChange.java
+++ b/daemon/src/main/java/org/plantainknot/daemon/control/VoterChange.java
@@ -5,9 +5,11 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.SortedMap;
 import java.util.TreeMap;
 import java.util.UUID;
+import java.util.function.Predicate;
 import org.plantainknot.core.error.ErrorCode;
 import org.plantainknot.core.error.Findings;
 import org.plantainknot.core.error.PlantainknotException;
@@ -15,6 +17,7 @@
 import org.plantainknot.core.replica.Membership;
 import org.plantainknot.core.replica.Replica;
 import org.plantainknot.core.replica.ReplicaStatus;
+import org.plantainknot.core.replica.VoterPlan;
 import org.plantainknot.daemon.storage.StorageCodec;
 import org.plantainknot.wire.member.FormProto;
 
@@ -29,6 +32,12 @@
 
   private static final FluentLogger logger = FluentLogger.forEnclosingClass();
 
+  /** Time within which a member that may join has answered. */
+  private static final long ANSWERING_MILLIS = 1_000;
+
+  /** Silence after which a voter that the others can spare leaves. */
+  private static final long SILENT_MILLIS = 3_000;
+
   private final Replica replica;
   private final Map<String, MemberId> peers = new HashMap<>();
   private MemberId joining;
@@ -93,15 +102,29 @@
     return "node " + node + " joins once it holds everything that is committed";
   }
 
-  /** Lets a member that can be reached and doesn't vote join, unless a change is under way. */
-  public void joinAny() {
+  /** Makes the next change of a plan, if this member leads and one is due. */
+  public void follow(VoterPlan plan, long nowMillis) {
     ReplicaStatus status = replica.status();
-    if (joining == null && status.isLeader() && status.membership() != null) {
-      peers.values().stream()
-          .filter(peer -> !status.membership().isVoter(peer))
-          .findFirst()
-          .ifPresent(peer -> joining = peer);
+    if (status.membership() == null || !status.isLeader()) {
+      return;
     }
+    List<MemberId> present =
+        peers.values().stream()
+            .filter(peer -> silenceMillis(peer, nowMillis) <= ANSWERING_MILLIS)
+            .toList();
+    Predicate<MemberId> silent =
+        voter -> !voter.equals(status.self()) && silenceMillis(voter, nowMillis) > SILENT_MILLIS;
+    for (Membership changed : plan.changes(status.membership(), present, silent)) {
+      Optional<Long> index = replica.changeMembership(changed);
+      if (index.isPresent()) {
+        logger.atInfo().log("voters-changing to=%s index=%d", changed.voters(), index.get());
+        return;
+      }
+    }
+  }
+
+  private long silenceMillis(MemberId member, long nowMillis) {
+    return nowMillis - replica.heardAtMillis(member);
   }
 
   /** Takes the change under way a step further. */
--- a/daemon/src/main/java/org/plantainknot/daemon/controller/Compactor.java
+++ b/daemon/src/main/java/org/plantainknot/daemon/controller/Compactor.java
@@ -62,7 +62,8 @@
   /** A snapshot of the leader may have overtaken the own one meanwhile. */
   private void compact(long index, byte[] data) {
     encoding = false;
-    if (replica.snapshotIndex() < index) {
+    long coveredIndex = replica.status().lastIndex() - replica.logSize();
+    if (coveredIndex < index) {
       Snapshot snapshot = driver.compact(index, data);
       logger.atInfo().log("snapshot index=%d bytes=%d", snapshot.lastIndex(), data.length);
     }
--- a/daemon/src/main/java/org/plantainknot/daemon/controller/ControllerNode.java
+++ b/daemon/src/main/java/org/plantainknot/daemon/controller/ControllerNode.java
@@ -18,6 +18,7 @@
 import org.plantainknot.core.replica.Replica;
 import org.plantainknot.core.replica.ReplicaTiming;
 import org.plantainknot.core.replica.Snapshot;
+import org.plantainknot.core.replica.VoterPlan;
 import org.plantainknot.core.schedule.WorkerDirectory;
 import org.plantainknot.daemon.control.Clock;
 import org.plantainknot.daemon.control.ControlThread;
@@ -57,6 +58,7 @@
   private final ReplicaDriver driver;
   private final StorageWriter writer;
   private final VoterChange voterChange;
+  private final VoterPlan voterPlan;
   private final MemberLinks links;
   private final Formation formation;
   private final LeaderClient leaderClient;
@@ -85,6 +87,7 @@
             UUID.randomUUID().getMostSignificantBits(),
             Clock.nowMillis());
     this.voterChange = new VoterChange(replica);
+    this.voterPlan = new VoterPlan(settings.lossesToBear());
     HostPort own = settings.linkAddress();
     this.formation = new Formation(settings.bootstrap(), settings.seedLinks(), own);
     this.links =
@@ -222,8 +225,7 @@
     if (nowMillis - membershipAtMillis >= MEMBERSHIP_MILLIS) {
       membershipAtMillis = nowMillis;
       formIfDue();
-      voterChange.joinAny();
-      voterChange.advance();
+      voterChange.follow(voterPlan, nowMillis);
       directory.forgetSilent(nowMillis);
     }
     driver.drain();
--- a/daemon/src/main/java/org/plantainknot/daemon/settings/ClusterSettings.java
+++ b/daemon/src/main/java/org/plantainknot/daemon/settings/ClusterSettings.java
@@ -19,6 +19,7 @@
  * @param metricsPort port of the metrics page
  * @param seeds control addresses of some controllers
  * @param bootstrap whether the cluster starts for the first time
+ * @param lossesToBear number of controllers whose loss at the same time must be borne
  * @param dataFolder folder of the replicated log, or empty
  * @param machinesAddress address of the platform's service for machines, or an empty text
  * @param stopMillis bound of a stop
@@ -36,6 +37,7 @@
     int metricsPort,
     List<HostPort> seeds,
     boolean bootstrap,
+    int lossesToBear,
     Optional<Path> dataFolder,
     String machinesAddress,
     long stopMillis,
--- a/daemon/src/main/java/org/plantainknot/daemon/settings/ClusterSettingsReader.java
+++ b/daemon/src/main/java/org/plantainknot/daemon/settings/ClusterSettingsReader.java
@@ -13,6 +13,8 @@
 /** Reads the settings of a process in a cluster of gateways and controllers. */
 public final class ClusterSettingsReader {
 
+  private static final long DEFAULT_LOSSES_TO_BEAR = 1;
+  private static final long MAX_LOSSES_TO_BEAR = 10;
   private static final long DEFAULT_RENEW_WAIT_MILLIS = 1_000;
   private static final long DEFAULT_RETRY_MILLIS = 400;
   private static final String SECONDS_SUFFIX = "s";
@@ -27,6 +29,7 @@
           "process.dataFolder",
           "process.bootstrap",
           "process.seeds",
+          "process.lossesToBear",
           "listen.host",
           "listen.memberPort",
           "listen.callers",
@@ -77,6 +80,7 @@
             (int) number("listen.metricsPort", 0, MAX_PORT),
             seeds(),
             Boolean.parseBoolean(text("process.bootstrap")),
+            (int) number("process.lossesToBear", DEFAULT_LOSSES_TO_BEAR, MAX_LOSSES_TO_BEAR),
             optional("process.dataFolder").map(Path::of),
             text("platform.machines"),
             number("timing.stopMillis", 5_000, MAX_MILLIS),
