Ask the policy of queues which workers may run a step, and look queues up by name

Besides, each look for a queue walked all of the configuration, once for each waiting job and round, and configurations may grow by thousands of routes. QueueTable finds queues by name and host. New setting [platform] advice.

--- a/bench/src/main/java/org/plantainknot/bench/measure/RoundMeasurement.java
+++ b/bench/src/main/java/org/plantainknot/bench/measure/RoundMeasurement.java
@@ -5,6 +5,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.SplittableRandom;
+import org.plantainknot.core.job.AdviceTerms;
 import org.plantainknot.core.job.Assignment;
 import org.plantainknot.core.job.FleetConfig;
 import org.plantainknot.core.job.JobCommand;
@@ -92,7 +93,9 @@
     List<QueueConfig> queues = new ArrayList<>();
     List<ServiceConfig> services = new ArrayList<>();
     for (int i = 0; i < SERVICES; i++) {
-      queues.add(new QueueConfig("q" + i, "h", "/q" + i + "/", "s" + i, i % 2, 4, 1.6, 600, 3_000));
+      queues.add(
+          new QueueConfig(
+              "q" + i, "h", "/q" + i + "/", "s" + i, i % 2, 4, 1.6, 600, 3_000, AdviceTerms.NONE));
       services.add(new ServiceConfig("s" + i, false));
     }
     services.add(new ServiceConfig("spare", true));
--- a/core/src/main/java/org/plantainknot/core/job/FleetConfig.java
+++ b/core/src/main/java/org/plantainknot/core/job/FleetConfig.java
@@ -1,7 +1,6 @@
 package org.plantainknot.core.job;
 
 import java.util.List;
-import java.util.Optional;
 
 /**
  * Configuration of queues and services; the highest version is in force.
@@ -27,21 +26,4 @@
   public boolean isNone() {
     return document.isEmpty();
   }
-
-  /** Returns the queue of a host with the longest prefix that the path begins with. */
-  public Optional<QueueConfig> route(String host, String path) {
-    QueueConfig best = null;
-    for (QueueConfig queue : queues) {
-      boolean matches = queue.host().equals(host) && path.startsWith(queue.pathPrefix());
-      if (matches && (best == null || queue.pathPrefix().length() > best.pathPrefix().length())) {
-        best = queue;
-      }
-    }
-    return Optional.ofNullable(best);
-  }
-
-  /** Returns the queue of a name. */
-  public Optional<QueueConfig> queue(String name) {
-    return queues.stream().filter(queue -> queue.name().equals(name)).findFirst();
-  }
 }
--- a/core/src/main/java/org/plantainknot/core/job/JobLedger.java
+++ b/core/src/main/java/org/plantainknot/core/job/JobLedger.java
@@ -71,6 +71,7 @@
   private final Map<Long, WaveProgress> waves = new TreeMap<>();
   private final Map<String, MachineOrder> orders = new TreeMap<>();
   private FleetConfig config = FleetConfig.NONE;
+  private QueueTable queues = new QueueTable(FleetConfig.NONE);
   private long clockMillis;
 
   /** Returns the configuration in force. */
@@ -78,6 +79,16 @@
     return config;
   }
 
+  /** Returns the queue of a host with the longest prefix that the path begins with. */
+  public Optional<QueueConfig> route(String host, String path) {
+    return queues.route(host, path);
+  }
+
+  /** Returns the queue of a name. */
+  public Optional<QueueConfig> queue(String name) {
+    return queues.find(name);
+  }
+
   /** Returns the time of the log, which never goes back. */
   public long clockMillis() {
     return clockMillis;
@@ -166,6 +177,7 @@
   public void restore(Image image) {
     clockMillis = image.clockMillis();
     config = image.config();
+    queues = new QueueTable(config);
     jobs.clear();
     open.clear();
     closed.clear();
@@ -189,8 +201,9 @@
       return Applied.UNCHANGED;
     }
     config = changed;
+    queues = new QueueTable(config);
     for (Job job : open) {
-      config.queue(job.spec().queue()).ifPresent(queue -> job.serveBy(queue.service()));
+      queue(job.spec().queue()).ifPresent(queue -> job.serveBy(queue.service()));
     }
     return Applied.CHANGED;
   }
@@ -199,7 +212,7 @@
     if (jobs.containsKey(spec.id())) {
       return Applied.UNCHANGED;
     }
-    Optional<QueueConfig> queue = config.queue(spec.queue());
+    Optional<QueueConfig> queue = queue(spec.queue());
     if (queue.isEmpty()) {
       return Applied.UNKNOWN;
     }
@@ -281,7 +294,7 @@
   }
 
   private int maxAttempts(Job job) {
-    return config.queue(job.spec().queue()).map(QueueConfig::maxAttempts).orElse(Integer.MAX_VALUE);
+    return queue(job.spec().queue()).map(QueueConfig::maxAttempts).orElse(Integer.MAX_VALUE);
   }
 
   private void giveUp(RunId run) {
--- a/core/src/main/java/org/plantainknot/core/job/QueueConfig.java
+++ b/core/src/main/java/org/plantainknot/core/job/QueueConfig.java
@@ -12,6 +12,7 @@
  * @param stretch factor of the longest chain of work that is the latency objective
  * @param targetLatencyMillis time that is added to that objective
  * @param timeoutMillis time that a call of the queue may take
+ * @param advice which workers may run its steps
  */
 public record QueueConfig(
     String name,
@@ -22,4 +23,5 @@
     int maxAttempts,
     double stretch,
     long targetLatencyMillis,
-    long timeoutMillis) {}
+    long timeoutMillis,
+    AdviceTerms advice) {}
--- a/core/src/main/java/org/plantainknot/core/job/TaskId.java
+++ b/core/src/main/java/org/plantainknot/core/job/TaskId.java
@@ -29,6 +29,11 @@
         Integer.parseInt(parts[3]));
   }
 
+  /** Returns the step that the task belongs to. */
+  public StepId stepId() {
+    return new StepId(job, occurrence, step);
+  }
+
   @Override
   public String toString() {
     return job + "." + occurrence + "." + step + "." + index;
--- a/core/src/main/java/org/plantainknot/core/schedule/Action.java
+++ b/core/src/main/java/org/plantainknot/core/schedule/Action.java
@@ -1,8 +1,11 @@
 package org.plantainknot.core.schedule;
 
+import java.util.List;
 import org.plantainknot.core.job.JobCommand;
 import org.plantainknot.core.job.MachineOrder;
 import org.plantainknot.core.job.RunId;
+import org.plantainknot.core.job.StepId;
+import org.plantainknot.core.job.WorkerLife;
 
 /** What the leader has to do next. */
 public sealed interface Action {
@@ -33,6 +36,7 @@
    * @param run the run
    * @param payload what to run
    * @param checkpoint where to resume, or an empty text
+   * @param ticket what allows the worker to run the step, or an empty text
    * @param fence fencing token
    * @param untilMillis end of the lease on the worker's clock
    */
@@ -41,6 +45,7 @@
       RunId run,
       String payload,
       String checkpoint,
+      String ticket,
       long fence,
       long untilMillis)
       implements Action {}
@@ -72,6 +77,20 @@
    */
   record SendMachineOrder(MachineOrder order, long token) implements Action {}
 
+  /**
+   * Asks a queue's policy which workers may run a step.
+   *
+   * @param step the step
+   * @param workers the workers in question
+   */
+  record Advise(StepId step, List<WorkerLife> workers) implements Action {
+
+    /** Copies the list. */
+    public Advise {
+      workers = List.copyOf(workers);
+    }
+  }
+
   /** Asks the platform for its list of machines. */
   record ListMachines() implements Action {}
 }
--- a/core/src/main/java/org/plantainknot/core/schedule/Dispatcher.java
+++ b/core/src/main/java/org/plantainknot/core/schedule/Dispatcher.java
@@ -40,6 +40,7 @@
   private final WorkerDirectory directory;
   private final DispatchTiming timing;
   private final Contacts contacts;
+  private final Advisor advisor;
   private final Orders orders;
   private final RunTable runs = new RunTable();
 
@@ -54,7 +55,8 @@
     this.directory = directory;
     this.timing = timing;
     this.contacts = new Contacts(directory, timing, nowMillis);
-    this.orders = new Orders(ledger, contacts, timing, term);
+    this.advisor = new Advisor(ledger);
+    this.orders = new Orders(ledger, contacts, timing, advisor, term);
     for (Task task : ledger.assignedTasks()) {
       runs.add(new TrackedRun(task, task.worker(), Phase.ADOPTED, nowMillis));
     }
@@ -80,6 +82,11 @@
     return runs.isAnyOn(life);
   }
 
+  /** Returns what asks for tickets. */
+  public Advisor advisor() {
+    return advisor;
+  }
+
   /** Returns what is known of a worker by talking to it. */
   Contact contact(WorkerLife life) {
     return contacts.of(life);
@@ -162,7 +169,11 @@
       case ACCEPTED -> run.enter(Phase.RUNNING, nowMillis);
       case OLD -> run.enter(Phase.STOPPED, nowMillis);
       case OTHER_LIFE -> contact.markOver();
-      case NO_ROOM, NO_TICKET, UNHEALTHY, INVALID -> {
+      case NO_TICKET -> {
+        advisor.refused(runId.task().stepId(), target.life());
+        giveUpOrFence(run, nowMillis);
+      }
+      case NO_ROOM, UNHEALTHY, INVALID -> {
         boolean full = outcome == CallOutcome.NO_ROOM;
         contact.blockUntil(nowMillis + (full ? NO_ROOM_BLOCK_MILLIS : SUSPECT_BLOCK_MILLIS));
         giveUpOrFence(run, nowMillis);
--- a/core/src/main/java/org/plantainknot/core/schedule/Orders.java
+++ b/core/src/main/java/org/plantainknot/core/schedule/Orders.java
@@ -4,6 +4,7 @@
 import java.util.List;
 import org.plantainknot.core.job.JobCommand;
 import org.plantainknot.core.job.JobLedger;
+import org.plantainknot.core.job.StepId;
 
 /** What a leader's term has to send: orders to workers, requests and commands, until drained. */
 final class Orders {
@@ -11,13 +12,15 @@
   private final JobLedger ledger;
   private final Contacts contacts;
   private final DispatchTiming timing;
+  private final Advisor advisor;
   private final long term;
   private final List<Action> actions = new ArrayList<>();
 
-  Orders(JobLedger ledger, Contacts contacts, DispatchTiming timing, long term) {
+  Orders(JobLedger ledger, Contacts contacts, DispatchTiming timing, Advisor advisor, long term) {
     this.ledger = ledger;
     this.contacts = contacts;
     this.timing = timing;
+    this.advisor = advisor;
     this.term = term;
   }
 
@@ -60,9 +63,16 @@
     run.startSent();
     String payload =
         ledger.job(run.run().task().job()).map(job -> job.spec().payload()).orElseThrow();
+    StepId step = run.run().task().stepId();
     actions.add(
         new Action.Start(
-            target, run.run(), payload, run.task().checkpoint(), term, contact.grant(nowMillis)));
+            target,
+            run.run(),
+            payload,
+            run.task().checkpoint(),
+            advisor.ticket(step, target.life(), nowMillis),
+            term,
+            contact.grant(nowMillis)));
   }
 
   void stop(TrackedRun run, long nowMillis) {
--- a/core/src/main/java/org/plantainknot/core/schedule/Planner.java
+++ b/core/src/main/java/org/plantainknot/core/schedule/Planner.java
@@ -12,6 +12,7 @@
 import org.plantainknot.core.job.JobLedger;
 import org.plantainknot.core.job.QueueConfig;
 import org.plantainknot.core.job.RunId;
+import org.plantainknot.core.job.StepId;
 import org.plantainknot.core.job.StepSpec;
 import org.plantainknot.core.job.Task;
 import org.plantainknot.core.job.TaskId;
@@ -61,6 +62,7 @@
   public List<Assignment> plan(long nowMillis, long wallMillis) {
     proposals.values().removeIf(p -> nowMillis - p.atMillis() > PROPOSAL_MILLIS);
     shortages.clear();
+    dispatcher.advisor().beginRound();
     List<Group> groups = waitingGroups(wallMillis);
     if (groups.isEmpty()) {
       return List.of();
@@ -74,6 +76,7 @@
         List<Assignment> assignments = place(group, slots, nowMillis);
         placed = assignments.size();
         planned.addAll(assignments);
+        wantAdvice(group, slots, placed, nowMillis);
       }
       countUnplaced(group, placed);
     }
@@ -111,7 +114,12 @@
   }
 
   /** Tasks of one step that wait. */
-  private record Group(Job job, int occurrence, int step, List<Task> waiting, Rank rank) {
+  private record Group(
+      Job job, int occurrence, int step, List<Task> waiting, Rank rank, boolean advised) {
+
+    StepId id() {
+      return new StepId(job.spec().id(), occurrence, step);
+    }
 
     StepSpec spec() {
       return job.spec().steps().get(step);
@@ -137,10 +145,11 @@
     List<Group> groups = new ArrayList<>();
     for (Job job : ledger.openJobs()) {
       if (!job.status().isEnded() && job.isAnyWaiting()) {
-        QueueConfig queue = ledger.config().queue(job.spec().queue()).orElse(null);
+        QueueConfig queue = ledger.queue(job.spec().queue()).orElse(null);
         for (int occurrence = 0; occurrence < job.occurrences(); occurrence++) {
           if (job.spec().schedule().dueMillis(occurrence) <= wallMillis) {
-            addGroups(groups, job, occurrence, rank(job, occurrence, queue, wallMillis));
+            Rank rank = rank(job, occurrence, queue, wallMillis);
+            addGroups(groups, job, occurrence, rank, isAdvised(queue));
           }
         }
       }
@@ -149,7 +158,11 @@
     return groups;
   }
 
-  private void addGroups(List<Group> groups, Job job, int occurrence, Rank rank) {
+  private static boolean isAdvised(QueueConfig queue) {
+    return queue != null && queue.advice().isRequired();
+  }
+
+  private void addGroups(List<Group> groups, Job job, int occurrence, Rank rank, boolean advised) {
     for (int step = 0; step < job.spec().steps().size(); step++) {
       if (job.isAnyWaiting(occurrence, step) && job.isStepReady(occurrence, step)) {
         List<Task> waiting =
@@ -157,7 +170,7 @@
                 .filter(task -> task.isWaiting() && !proposals.containsKey(task.id()))
                 .toList();
         if (!waiting.isEmpty()) {
-          groups.add(new Group(job, occurrence, step, waiting, rank));
+          groups.add(new Group(job, occurrence, step, waiting, rank, advised));
         }
       }
     }
@@ -205,7 +218,7 @@
     List<Assignment> placed = new ArrayList<>();
     List<Slot> used = new ArrayList<>();
     for (Task task : group.waiting()) {
-      Slot slot = best(group, slots);
+      Slot slot = best(group, slots, nowMillis);
       if (slot == null) {
         break;
       }
@@ -224,6 +237,24 @@
     return placed;
   }
 
+  private boolean mayRun(Group group, Slot slot, long nowMillis) {
+    return !group.advised()
+        || !dispatcher.advisor().ticket(group.id(), slot.worker().life(), nowMillis).isEmpty();
+  }
+
+  /** Asks about workers with room for what found none with the tickets there are. */
+  private void wantAdvice(Group group, List<Slot> slots, int placed, long nowMillis) {
+    if (group.advised() && placed < group.waiting().size()) {
+      List<WorkerLife> candidates =
+          slots.stream()
+              .filter(slot -> slot.fits(group.id(), group.spec()))
+              .sorted(Comparator.comparingDouble(slot -> -slot.score(group.spec())))
+              .map(slot -> slot.worker().life())
+              .toList();
+      dispatcher.advisor().want(group.id(), candidates, nowMillis);
+    }
+  }
+
   /** The members of a gang share the number of their run. */
   private static int nextRun(Group group, Task task) {
     if (!group.spec().gang()) {
@@ -236,12 +267,12 @@
             .orElse(0);
   }
 
-  private static Slot best(Group group, List<Slot> slots) {
+  private Slot best(Group group, List<Slot> slots, long nowMillis) {
     StepSpec step = group.spec();
     Slot best = null;
     double bestScore = Double.NEGATIVE_INFINITY;
     for (Slot slot : slots) {
-      if (slot.fits(group.job().spec().id(), group.occurrence(), group.step(), step)) {
+      if (slot.fits(group.id(), step) && mayRun(group, slot, nowMillis)) {
         double score = slot.score(step);
         if (score > bestScore) {
           best = slot;
--- a/core/src/main/java/org/plantainknot/core/schedule/Slot.java
+++ b/core/src/main/java/org/plantainknot/core/schedule/Slot.java
@@ -2,6 +2,7 @@
 
 import java.util.HashMap;
 import java.util.Map;
+import org.plantainknot.core.job.StepId;
 import org.plantainknot.core.job.StepSpec;
 import org.plantainknot.core.job.TaskId;
 import org.plantainknot.core.placement.Resources;
@@ -19,11 +20,9 @@
 
   private static final double DISTURBANCE_WEIGHT = 2;
 
-  private record StepKey(String job, int occurrence, int step) {}
-
   private final WorkerHeartbeat worker;
   private final boolean onProbation;
-  private final Map<StepKey, Integer> tasksByStep = new HashMap<>();
+  private final Map<StepId, Integer> tasksByStep = new HashMap<>();
   private Resources free;
   private int tasks;
   private int serving;
@@ -43,7 +42,7 @@
 
   void take(TaskId task, StepSpec step) {
     free = free.minus(step.reserved());
-    tasksByStep.merge(new StepKey(task.job(), task.occurrence(), task.step()), 1, Integer::sum);
+    tasksByStep.merge(task.stepId(), 1, Integer::sum);
     tasks++;
     if (step.persistent()) {
       persistent++;
@@ -61,13 +60,13 @@
     tasks--;
   }
 
-  boolean fits(String job, int occurrence, int stepNumber, StepSpec step) {
+  boolean fits(StepId id, StepSpec step) {
     boolean full = !step.reserved().fitsInto(free);
     if (full || (onProbation && tasks > 0)) {
       return false;
     }
     boolean labelled = step.requiredLabel().isEmpty() || hasLabel(step.requiredLabel());
-    int placed = tasksByStep.getOrDefault(new StepKey(job, occurrence, stepNumber), 0);
+    int placed = tasksByStep.getOrDefault(id, 0);
     boolean belowMost = step.maxPerWorker() == 0 || placed < step.maxPerWorker();
     return labelled && belowMost;
   }
--- /dev/null
+++ b/core/src/test/java/org/plantainknot/core/schedule/AdvisorTest.java
@@ -0,0 +1,115 @@
+package org.plantainknot.core.schedule;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertTrue;
+
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import org.plantainknot.core.job.Assignment;
+import org.plantainknot.core.job.StepId;
+import org.plantainknot.core.job.StepSpec;
+import org.plantainknot.core.job.WorkerLife;
+import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.Test;
+
+/** Tests a queue whose policy allows only some workers to run a step. */
+public class AdvisorTest {
+
+  private static final long VALID_MILLIS = 3_000;
+  private static final StepSpec ONE_TASK = LeaderFixture.step(1, 1_000).build();
+
+  private LeaderFixture leader;
+
+  @BeforeMethod
+  void setUpAPoolOfTwoWorkers() {
+    leader = new LeaderFixture("advised");
+    leader.requireAdvice("advised", VALID_MILLIS);
+    leader.addWorker("w1", "advised");
+    leader.addWorker("w2", "advised");
+  }
+
+  @Test
+  void workGoesOnlyToAWorkerWithATicketWhichTheStartCarries() {
+    leader.submit("j", "advised", ONE_TASK);
+    assertEquals(leader.planAndAssign(), List.of());
+    Action.Advise asked = next().orElseThrow();
+    assertEquals(asked.step(), new StepId("j", 0, 0));
+    answer(asked, Map.of("w2", "ticket-2"));
+    List<Assignment> planned = leader.planAndAssign();
+    assertEquals(planned.get(0).worker().worker(), "w2");
+    assertEquals(startedTickets(), List.of("ticket-2"));
+  }
+
+  @Test
+  void workersThatMayNotRunAStepAreNotAskedAboutAgain() {
+    leader.submit("j", "advised", ONE_TASK);
+    leader.planAndAssign();
+    answer(next().orElseThrow(), Map.of());
+    leader.planAndAssign();
+    assertEquals(next(), Optional.empty());
+    leader.addWorker("w3", "advised");
+    leader.planAndAssign();
+    assertEquals(next().orElseThrow().workers(), List.of(new WorkerLife("w3", 1)));
+  }
+
+  @Test
+  void aTicketThatExpiresBeforeTheStartIsAskedForAgain() {
+    leader.submit("j", "advised", ONE_TASK);
+    leader.planAndAssign();
+    answer(next().orElseThrow(), Map.of("w1", "old"));
+    leader.nowMillis += VALID_MILLIS;
+    leader.hearWorkers();
+    assertEquals(leader.planAndAssign(), List.of());
+    assertEquals(next().orElseThrow().workers(), List.of(new WorkerLife("w1", 1)));
+  }
+
+  @Test
+  void oneCallIsUnderWayAtATimeAndAFailedOneIsRepeatedAfterAWhile() {
+    leader.submit("j", "advised", ONE_TASK);
+    leader.submit("k", "advised", ONE_TASK);
+    leader.planAndAssign();
+    assertTrue(next().isPresent());
+    assertEquals(next(), Optional.empty());
+    leader.dispatcher.advisor().failed(leader.nowMillis);
+    leader.planAndAssign();
+    assertEquals(next(), Optional.empty());
+    leader.nowMillis += 500;
+    assertTrue(next().isPresent());
+  }
+
+  @Test
+  void aRefusedTicketIsForgottenAndItsWorkerKeepsItsOtherWork() {
+    leader.submit("j", "advised", ONE_TASK);
+    leader.planAndAssign();
+    answer(next().orElseThrow(), Map.of("w1", "void"));
+    Assignment refused = leader.planAndAssign().get(0);
+    leader.dispatcher.started(
+        new WorkerTarget(refused.worker(), "w1:1"),
+        refused.run(),
+        new OrderAnswer(CallOutcome.NO_TICKET, leader.nowMillis),
+        leader.nowMillis);
+    assertTrue(
+        leader.dispatcher.isUsable(leader.directory.find("w1").orElseThrow(), leader.nowMillis));
+    assertEquals(
+        leader.dispatcher.advisor().ticket(new StepId("j", 0, 0), refused.worker(), 0), "");
+  }
+
+  private Optional<Action.Advise> next() {
+    return leader.dispatcher.advisor().next(leader.nowMillis);
+  }
+
+  private void answer(Action.Advise asked, Map<String, String> tickets) {
+    leader
+        .dispatcher
+        .advisor()
+        .answered(asked, new Advice(tickets, VALID_MILLIS), leader.nowMillis);
+  }
+
+  private List<String> startedTickets() {
+    return leader.dispatcher.drain().stream()
+        .filter(Action.Start.class::isInstance)
+        .map(action -> ((Action.Start) action).ticket())
+        .toList();
+  }
+}
--- a/core/src/test/java/org/plantainknot/core/schedule/DispatchFuzzTest.java
+++ b/core/src/test/java/org/plantainknot/core/schedule/DispatchFuzzTest.java
@@ -11,6 +11,7 @@
 import java.util.PriorityQueue;
 import java.util.Set;
 import java.util.SplittableRandom;
+import org.plantainknot.core.job.AdviceTerms;
 import org.plantainknot.core.job.Assignment;
 import org.plantainknot.core.job.FleetConfig;
 import org.plantainknot.core.job.Job;
@@ -112,7 +113,8 @@
     silentUntilMillis = new HashMap<>();
     cancelled = new HashSet<>();
     jobs = new ArrayList<>();
-    QueueConfig queue = new QueueConfig("q", "h", "/q/", "s", 0, 1_000, 2, 1_000, 3_000);
+    QueueConfig queue =
+        new QueueConfig("q", "h", "/q/", "s", 0, 1_000, 2, 1_000, 3_000, AdviceTerms.NONE);
     FleetConfig config =
         new FleetConfig(1, List.of(queue), List.of(new ServiceConfig("s", false)), "{}");
     ledger.apply(0, new JobCommand.PutConfig(config));
--- a/core/src/test/java/org/plantainknot/core/schedule/DispatcherTest.java
+++ b/core/src/test/java/org/plantainknot/core/schedule/DispatcherTest.java
@@ -6,6 +6,7 @@
 
 import java.util.ArrayList;
 import java.util.List;
+import org.plantainknot.core.job.AdviceTerms;
 import org.plantainknot.core.job.Assignment;
 import org.plantainknot.core.job.FleetConfig;
 import org.plantainknot.core.job.JobCommand;
@@ -157,7 +158,8 @@
   }
 
   private void start(boolean persistent) {
-    QueueConfig queue = new QueueConfig("q", "h", "/q/", "s", 0, 4, 2, 1_000, 3_000);
+    QueueConfig queue =
+        new QueueConfig("q", "h", "/q/", "s", 0, 4, 2, 1_000, 3_000, AdviceTerms.NONE);
     FleetConfig config =
         new FleetConfig(1, List.of(queue), List.of(new ServiceConfig("s", false)), "{}");
     ledger.apply(0, new JobCommand.PutConfig(config));
--- a/core/src/test/java/org/plantainknot/core/schedule/LeaderFixture.java
+++ b/core/src/test/java/org/plantainknot/core/schedule/LeaderFixture.java
@@ -2,6 +2,7 @@
 
 import java.util.ArrayList;
 import java.util.List;
+import org.plantainknot.core.job.AdviceTerms;
 import org.plantainknot.core.job.Assignment;
 import org.plantainknot.core.job.FleetConfig;
 import org.plantainknot.core.job.JobCommand;
@@ -36,7 +37,7 @@
     List<QueueConfig> queues = new ArrayList<>();
     List<ServiceConfig> configs = new ArrayList<>();
     for (String service : services) {
-      queues.add(queue(service));
+      queues.add(queue(service, AdviceTerms.NONE));
       configs.add(new ServiceConfig(service, false));
     }
     configs.add(new ServiceConfig("spare", true));
@@ -45,6 +46,13 @@
     planner = new Planner(ledger, directory, dispatcher);
   }
 
+  /** Puts a configuration in force in which the starts of a service's only queue need tickets. */
+  void requireAdvice(String service, long validMillis) {
+    List<QueueConfig> queues = List.of(queue(service, new AdviceTerms(50, 10, validMillis)));
+    List<ServiceConfig> services = List.of(new ServiceConfig(service, false));
+    ledger.apply(0, new JobCommand.PutConfig(new FleetConfig(2, queues, services, "{}")));
+  }
+
   void addSpareMachine(String name) {
     List<Machine> all = new ArrayList<>(machines.all());
     all.add(new Machine(name, "spare", MachineState.DOWN, List.of("a", "r9"), ""));
@@ -112,8 +120,17 @@
     return orders;
   }
 
-  private static QueueConfig queue(String service) {
+  private static QueueConfig queue(String service, AdviceTerms advice) {
     return new QueueConfig(
-        service, "h", "/" + service + "/", service, 0, 4, STRETCH, TARGET_LATENCY_MILLIS, 3_000);
+        service,
+        "h",
+        "/" + service + "/",
+        service,
+        0,
+        4,
+        STRETCH,
+        TARGET_LATENCY_MILLIS,
+        3_000,
+        advice);
   }
 }
--- a/core/src/test/java/org/plantainknot/core/schedule/MaintainerTest.java
+++ b/core/src/test/java/org/plantainknot/core/schedule/MaintainerTest.java
@@ -9,6 +9,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.TreeMap;
+import org.plantainknot.core.job.AdviceTerms;
 import org.plantainknot.core.job.Assignment;
 import org.plantainknot.core.job.FleetConfig;
 import org.plantainknot.core.job.JobCommand;
@@ -50,7 +51,8 @@
     directory = new WorkerDirectory();
     runByLife.clear();
     nowMillis = 0;
-    QueueConfig queue = new QueueConfig("q", "h", "/q/", "s", 0, 4, 2, 1_000, 3_000);
+    QueueConfig queue =
+        new QueueConfig("q", "h", "/q/", "s", 0, 4, 2, 1_000, 3_000, AdviceTerms.NONE);
     FleetConfig config =
         new FleetConfig(1, List.of(queue), List.of(new ServiceConfig("s", false)), "{}");
     ledger.apply(0, new JobCommand.PutConfig(config));
--- a/daemon/src/main/java/org/plantainknot/daemon/controller/ActionRunner.java
+++ b/daemon/src/main/java/org/plantainknot/daemon/controller/ActionRunner.java
@@ -7,6 +7,7 @@
 import org.plantainknot.core.schedule.Action;
 import org.plantainknot.core.schedule.CallOutcome;
 import org.plantainknot.daemon.control.Clock;
+import org.plantainknot.platform.AdviceClient;
 import org.plantainknot.platform.MachineClient;
 import org.plantainknot.platform.WorkerClient;
 
@@ -17,16 +18,19 @@
 
   private final WorkerClient workers;
   private final MachineClient machines;
+  private final AdviceClient advice;
   private final Consumer<Runnable> controlThread;
   private final Consumer<JobCommand> proposer;
 
   ActionRunner(
       WorkerClient workers,
       MachineClient machines,
+      AdviceClient advice,
       Consumer<Runnable> controlThread,
       Consumer<JobCommand> proposer) {
     this.workers = workers;
     this.machines = machines;
+    this.advice = advice;
     this.controlThread = controlThread;
     this.proposer = proposer;
   }
@@ -45,6 +49,8 @@
         pace(pace);
       } else if (action instanceof Action.SendMachineOrder send) {
         sendMachineOrder(send, office);
+      } else if (action instanceof Action.Advise advise) {
+        advise(advise, office);
       } else if (action instanceof Action.ListMachines) {
         listMachines(office);
       }
@@ -98,6 +104,23 @@
             });
   }
 
+  private void advise(Action.Advise advise, JobOffice office) {
+    long sentAtMillis = Clock.nowMillis();
+    advice
+        .ask(advise)
+        .subscribe()
+        .with(
+            answer -> {
+              logger.atInfo().log(
+                  "advice step=%s asked=%d tickets=%d after-ms=%d",
+                  advise.step(),
+                  advise.workers().size(),
+                  answer.map(a -> a.ticketByWorker().size()).orElse(0),
+                  Clock.nowMillis() - sentAtMillis);
+              controlThread.accept(() -> office.advised(advise, answer, sentAtMillis));
+            });
+  }
+
   private void sendMachineOrder(Action.SendMachineOrder send, JobOffice office) {
     machines
         .send(send)
--- a/daemon/src/main/java/org/plantainknot/daemon/controller/ControllerNode.java
+++ b/daemon/src/main/java/org/plantainknot/daemon/controller/ControllerNode.java
@@ -36,6 +36,7 @@
 import org.plantainknot.daemon.settings.HostPort;
 import org.plantainknot.daemon.storage.DiskStorage;
 import org.plantainknot.daemon.storage.StorageCodec;
+import org.plantainknot.platform.AdviceClient;
 import org.plantainknot.platform.MachineClient;
 import org.plantainknot.platform.WorkerClient;
 import org.plantainknot.wire.member.CallProto;
@@ -105,6 +106,7 @@
         new ActionRunner(
             new WorkerClient(vertx),
             new MachineClient(vertx, settings.machinesAddress(), settings.node()),
+            new AdviceClient(vertx, settings.adviceAddress()),
             control::execute,
             this::propose);
     this.machine =
--- a/daemon/src/main/java/org/plantainknot/daemon/controller/JobOffice.java
+++ b/daemon/src/main/java/org/plantainknot/daemon/controller/JobOffice.java
@@ -2,11 +2,13 @@
 
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Optional;
 import org.plantainknot.core.job.Assignment;
 import org.plantainknot.core.job.JobCommand;
 import org.plantainknot.core.job.JobLedger;
 import org.plantainknot.core.job.MachineOrder;
 import org.plantainknot.core.schedule.Action;
+import org.plantainknot.core.schedule.Advice;
 import org.plantainknot.core.schedule.CallOutcome;
 import org.plantainknot.core.schedule.DispatchTiming;
 import org.plantainknot.core.schedule.Dispatcher;
@@ -87,6 +89,13 @@
     dispatcher.stopped(stop.run(), outcome, Clock.nowMillis());
   }
 
+  void advised(Action.Advise asked, Optional<Advice> answer, long sentAtMillis) {
+    answer.ifPresentOrElse(
+        advice -> dispatcher.advisor().answered(asked, advice, sentAtMillis),
+        () -> dispatcher.advisor().failed(Clock.nowMillis()));
+    planDue = true;
+  }
+
   void machineOrdered(MachineOrder order, MachineOutcome outcome) {
     maintainer.ordered(order, outcome, Clock.nowMillis());
   }
@@ -112,6 +121,7 @@
     if (planDue && mayOrder && System.nanoTime() - planAtNanos >= 0) {
       plan(nowMillis, actions);
     }
+    dispatcher.advisor().next(nowMillis).ifPresent(actions::add);
     return actions;
   }
 
--- a/daemon/src/main/java/org/plantainknot/daemon/controller/LeaderDesk.java
+++ b/daemon/src/main/java/org/plantainknot/daemon/controller/LeaderDesk.java
@@ -104,7 +104,7 @@
   }
 
   private void submit(Request.SubmitJob submit, Consumer<Reply> answer) {
-    Optional<QueueConfig> queue = ledger.config().route(submit.host(), submit.path());
+    Optional<QueueConfig> queue = ledger.route(submit.host(), submit.path());
     if (queue.isEmpty()) {
       read(submit, answer);
       return;
@@ -119,7 +119,7 @@
   }
 
   private void cancel(Request.CancelJob cancel, Consumer<Reply> answer) {
-    Optional<QueueConfig> queue = ledger.config().route(cancel.host(), cancel.path());
+    Optional<QueueConfig> queue = ledger.route(cancel.host(), cancel.path());
     if (queue.isEmpty()) {
       read(cancel, answer);
       return;
@@ -177,7 +177,7 @@
   }
 
   private Reply readJob(Request.GetJob get) {
-    Optional<QueueConfig> queue = ledger.config().route(get.host(), get.path());
+    Optional<QueueConfig> queue = ledger.route(get.host(), get.path());
     if (queue.isEmpty()) {
       return noQueue();
     }
--- a/daemon/src/main/java/org/plantainknot/daemon/settings/ClusterSettings.java
+++ b/daemon/src/main/java/org/plantainknot/daemon/settings/ClusterSettings.java
@@ -22,6 +22,8 @@
  * @param lossesToBear number of controllers whose loss at the same time must be borne
  * @param dataFolder folder of the replicated log, or empty
  * @param machinesAddress address of the platform's service for machines, or an empty text
+ * @param adviceAddress address of the service that knows which workers may run a step, or an empty
+ *     text
  * @param stopMillis bound of a stop
  * @param timing times of the dispatch
  */
@@ -40,6 +42,7 @@
     int lossesToBear,
     Optional<Path> dataFolder,
     String machinesAddress,
+    String adviceAddress,
     long stopMillis,
     DispatchTiming timing) {
 
--- a/daemon/src/main/java/org/plantainknot/daemon/settings/ClusterSettingsReader.java
+++ b/daemon/src/main/java/org/plantainknot/daemon/settings/ClusterSettingsReader.java
@@ -37,6 +37,7 @@
           "listen.control",
           "listen.metricsPort",
           "platform.machines",
+          "platform.advice",
           "timing.leaseMillis",
           "timing.renewWaitMillis",
           "timing.retryMillis",
@@ -83,6 +84,7 @@
             (int) number("process.lossesToBear", DEFAULT_LOSSES_TO_BEAR, MAX_LOSSES_TO_BEAR),
             optional("process.dataFolder").map(Path::of),
             text("platform.machines"),
+            text("platform.advice"),
             number("timing.stopMillis", 5_000, MAX_MILLIS),
             timing());
     checkRole(settings);
