Expect the durations that a queue's tasks have shown, not only their estimates

Cause: the order of planning and what counts as still in time go by estimates that are far off (spread 0.9 in logarithms on the short queues of both sites, where durations spread 0.5), so that work that is late in any case went before work in time. Ruled out: the mean of the queue alone (a line through the logarithms believes an estimate as far as it has proved right).

--- a/core/src/main/java/org/plantainknot/core/job/Job.java
+++ b/core/src/main/java/org/plantainknot/core/job/Job.java
@@ -2,6 +2,7 @@
 
 import java.util.ArrayList;
 import java.util.List;
+import java.util.function.LongUnaryOperator;
 
 /** Accepted job and where it stands. */
 public final class Job {
@@ -128,9 +129,9 @@
     return occurrences.get(occurrence).get(step).counts();
   }
 
-  /** Returns the estimated duration of the longest chain of steps that an occurrence has to do. */
-  public long remainingChainMillis(int occurrence) {
-    return spec.estimatedChainMillis(step -> !isStepDone(occurrence, step));
+  /** Returns the duration of the longest chain of steps that an occurrence has yet to do. */
+  public long remainingChainMillis(int occurrence, LongUnaryOperator expectedMillis) {
+    return spec.chainMillis(step -> !isStepDone(occurrence, step), expectedMillis);
   }
 
   void serveBy(String newService) {
--- a/core/src/main/java/org/plantainknot/core/job/JobSpec.java
+++ b/core/src/main/java/org/plantainknot/core/job/JobSpec.java
@@ -2,6 +2,7 @@
 
 import java.util.List;
 import java.util.function.IntPredicate;
+import java.util.function.LongUnaryOperator;
 
 /**
  * Job as it was submitted.
@@ -35,20 +36,21 @@
     return steps.stream().mapToDouble(step -> step.count() * step.estimatedWork()).sum();
   }
 
-  /** Returns the duration of the longest chain of steps as estimated. */
-  public long estimatedChainMillis() {
-    return estimatedChainMillis(step -> true);
-  }
-
-  /** Returns the same, with no time for the steps that don't count. */
-  long estimatedChainMillis(IntPredicate counts) {
+  /**
+   * Returns the duration of the longest chain of steps.
+   *
+   * @param counts whether a step has to be done yet
+   * @param expectedMillis duration of a task to expect, by its estimate
+   */
+  public long chainMillis(IntPredicate counts, LongUnaryOperator expectedMillis) {
     long[] endMillis = new long[steps.size()];
     long longest = 0;
     for (int step = 0; step < endMillis.length; step++) {
       for (int earlier : steps.get(step).dependsOn()) {
         endMillis[step] = Math.max(endMillis[step], endMillis[earlier]);
       }
-      endMillis[step] += counts.test(step) ? steps.get(step).estimateMillis() : 0;
+      endMillis[step] +=
+          counts.test(step) ? expectedMillis.applyAsLong(steps.get(step).estimateMillis()) : 0;
       longest = Math.max(longest, endMillis[step]);
     }
     return longest;
--- a/core/src/main/java/org/plantainknot/core/schedule/Dispatcher.java
+++ b/core/src/main/java/org/plantainknot/core/schedule/Dispatcher.java
@@ -43,6 +43,7 @@
   private final Advisor advisor;
   private final Orders orders;
   private final RunTable runs = new RunTable();
+  private final Durations durations = new Durations();
 
   /** Takes over what the record says may be running. */
   public Dispatcher(
@@ -82,6 +83,11 @@
     return runs.isAnyOn(life);
   }
 
+  /** Returns what was learned of the tasks' durations. */
+  Durations durations() {
+    return durations;
+  }
+
   /** Returns what asks for tickets. */
   public Advisor advisor() {
     return advisor;
@@ -337,6 +343,7 @@
   private void onEndsNoted(NoteEnds note, long nowMillis) {
     Contact contact = contact(note.worker());
     for (RunEnd end : note.ends()) {
+      learnDuration(end, nowMillis);
       runs.remove(end.run());
       if (end.kind() == EndKind.DONE) {
         contact.runDone();
@@ -347,6 +354,23 @@
     contact.renewSoon();
   }
 
+  /** Later runs may have resumed from a checkpoint, and adopted ones have begun unseen. */
+  private void learnDuration(RunEnd end, long nowMillis) {
+    TrackedRun run = runs.find(end.run());
+    boolean whole =
+        run != null && end.kind() == EndKind.DONE && end.run().run() == 1 && run.isSeenWhole();
+    if (whole) {
+      ledger
+          .job(end.run().task().job())
+          .ifPresent(
+              job ->
+                  durations.done(
+                      job.spec().queue(),
+                      run.task().step().estimateMillis(),
+                      nowMillis - run.createdAtMillis()));
+    }
+  }
+
   private void onListedRunning(WorkerTarget target, RunningTask listed, long nowMillis) {
     TrackedRun run = runs.find(listed.run());
     if (run != null && run.life().isEarlierThan(target.life())) {
--- a/core/src/main/java/org/plantainknot/core/schedule/Planner.java
+++ b/core/src/main/java/org/plantainknot/core/schedule/Planner.java
@@ -7,6 +7,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.function.LongUnaryOperator;
 import org.plantainknot.core.job.Assignment;
 import org.plantainknot.core.job.Job;
 import org.plantainknot.core.job.JobLedger;
@@ -176,12 +177,14 @@
     }
   }
 
-  private static Rank rank(Job job, int occurrence, QueueConfig queue, long wallMillis) {
-    Urgency urgency = Urgency.of(job, occurrence, queue, wallMillis);
+  private Rank rank(Job job, int occurrence, QueueConfig queue, long wallMillis) {
+    LongUnaryOperator expectedMillis =
+        estimate -> dispatcher.durations().expectedMillis(job.spec().queue(), estimate);
+    Urgency urgency = Urgency.of(job, occurrence, queue, expectedMillis, wallMillis);
     if (queue == null || urgency == Urgency.PERSISTENT) {
       return new Rank(urgency, 0, job.acceptedAtMillis());
     }
-    long deadlineMillis = Urgency.deadlineMillis(job, occurrence, queue, 1);
+    long deadlineMillis = Urgency.deadlineMillis(job, occurrence, queue, expectedMillis, 1);
     return new Rank(urgency, queue.priority(), deadlineMillis);
   }
 
--- a/core/src/main/java/org/plantainknot/core/schedule/TrackedRun.java
+++ b/core/src/main/java/org/plantainknot/core/schedule/TrackedRun.java
@@ -25,6 +25,8 @@
 
   private final Task task;
   private final RunId run;
+  private final long createdAtMillis;
+  private final boolean adopted;
   private WorkerLife life;
   private Phase phase;
   private long phaseAtMillis;
@@ -44,6 +46,8 @@
     this.life = life;
     this.phase = phase;
     this.phaseAtMillis = nowMillis;
+    this.createdAtMillis = nowMillis;
+    this.adopted = phase == Phase.ADOPTED;
     this.progressAtMillis = nowMillis;
     this.openStarts = phase == Phase.ADOPTED ? 1 : 0;
   }
@@ -60,6 +64,16 @@
     return life;
   }
 
+  /** Returns whether this leader has assigned the run. */
+  boolean isSeenWhole() {
+    return !adopted;
+  }
+
+  /** Returns when this leader began to follow the run. */
+  long createdAtMillis() {
+    return createdAtMillis;
+  }
+
   /** Notes that a later life of the worker took the start. */
   void foundOn(WorkerLife later) {
     life = later;
--- a/core/src/main/java/org/plantainknot/core/schedule/Urgency.java
+++ b/core/src/main/java/org/plantainknot/core/schedule/Urgency.java
@@ -1,5 +1,6 @@
 package org.plantainknot.core.schedule;
 
+import java.util.function.LongUnaryOperator;
 import org.plantainknot.core.job.Job;
 import org.plantainknot.core.job.QueueConfig;
 
@@ -27,27 +28,42 @@
     return this == PERSISTENT || this == IN_TIME;
   }
 
-  /** Returns the urgency of an occurrence of a job. */
-  static Urgency of(Job job, int occurrence, QueueConfig queue, long wallMillis) {
+  /**
+   * Returns the urgency of an occurrence of a job.
+   *
+   * @param expectedMillis duration of a task to expect, by its estimate
+   */
+  static Urgency of(
+      Job job,
+      int occurrence,
+      QueueConfig queue,
+      LongUnaryOperator expectedMillis,
+      long wallMillis) {
     if (job.spec().isPersistent()) {
       return PERSISTENT;
     }
     if (queue == null) {
       return OVERDUE;
     }
-    long endMillis = wallMillis + job.remainingChainMillis(occurrence);
-    if (endMillis <= deadlineMillis(job, occurrence, queue, 1)) {
+    long endMillis = wallMillis + job.remainingChainMillis(occurrence, expectedMillis);
+    if (endMillis <= deadlineMillis(job, occurrence, queue, expectedMillis, 1)) {
       return IN_TIME;
     }
-    boolean wanted = endMillis <= deadlineMillis(job, occurrence, queue, WANTED_OBJECTIVES);
+    boolean wanted =
+        endMillis <= deadlineMillis(job, occurrence, queue, expectedMillis, WANTED_OBJECTIVES);
     return wanted ? LATE : OVERDUE;
   }
 
   /** Returns when a number of latency objectives of an occurrence have passed. */
-  static long deadlineMillis(Job job, int occurrence, QueueConfig queue, int objectives) {
+  static long deadlineMillis(
+      Job job,
+      int occurrence,
+      QueueConfig queue,
+      LongUnaryOperator expectedMillis,
+      int objectives) {
     long due = Math.max(job.acceptedAtMillis(), job.spec().schedule().dueMillis(occurrence));
-    double objective =
-        queue.stretch() * job.spec().estimatedChainMillis() + queue.targetLatencyMillis();
+    long chainMillis = job.spec().chainMillis(step -> true, expectedMillis);
+    double objective = queue.stretch() * chainMillis + queue.targetLatencyMillis();
     return due + (long) (objectives * objective);
   }
 }
