Refuse at once what comes while no leader has been in reach for long

Ruled out: 504 for what was sent before the silence showed; its fate is not known. Change: the client notes since when no leader is linked. For 1.5 s, in which a new one is usually elected, it holds what it could not send; then it answers "unavailable", which is true, also to newcomers at once.

--- a/daemon/src/main/java/org/plantainknot/daemon/controller/ControllerNode.java
+++ b/daemon/src/main/java/org/plantainknot/daemon/controller/ControllerNode.java
@@ -99,7 +99,7 @@
             settings.seedLinks(),
             Optional.empty(),
             this);
-    this.leaderClient = new LeaderClient(this::sendOrTake);
+    this.leaderClient = new LeaderClient(this::sendOrTake, this::isInReach);
     this.announcer = new LeaderAnnouncer(links, leaderClient, self.node());
     this.writer = new StorageWriter(storage, this::onSynced, onStorageFailure);
     ActionRunner runner =
@@ -197,6 +197,10 @@
     }
   }
 
+  private boolean isInReach(String node) {
+    return node.equals(self.node()) || links.isLinked(node);
+  }
+
   /** Sends a frame to a node, which may be this one. */
   private boolean sendOrTake(String node, FrameProto frame) {
     if (!node.equals(self.node())) {
--- a/daemon/src/main/java/org/plantainknot/daemon/gateway/GatewayNode.java
+++ b/daemon/src/main/java/org/plantainknot/daemon/gateway/GatewayNode.java
@@ -34,7 +34,7 @@
             settings.seedLinks(),
             Optional.empty(),
             this);
-    this.leaderClient = new LeaderClient(links::send);
+    this.leaderClient = new LeaderClient(links::send, links::isLinked);
   }
 
   /** Starts to open links. */
--- a/daemon/src/main/java/org/plantainknot/daemon/leader/LeaderClient.java
+++ b/daemon/src/main/java/org/plantainknot/daemon/leader/LeaderClient.java
@@ -9,6 +9,7 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionStage;
 import java.util.function.BiPredicate;
+import java.util.function.Predicate;
 import org.plantainknot.core.call.Reply;
 import org.plantainknot.core.call.Request;
 import org.plantainknot.core.call.RequestHandler;
@@ -30,7 +31,7 @@
   private static final FluentLogger logger = FluentLogger.forEnclosingClass();
   private static final long RESEND_MILLIS = 500;
 
-  /** Time without a leader after which a request that was never sent is turned away. */
+  /** Time without a leader in reach after which requests that were never sent are turned away. */
   private static final long NO_LEADER_MILLIS = 1_500;
 
   private static final long RETRY_AFTER_MILLIS = 1_000;
@@ -62,17 +63,21 @@
   }
 
   private final BiPredicate<String, FrameProto> sender;
+  private final Predicate<String> linked;
   private final Map<Long, Pending> pendingById = new LinkedHashMap<>();
   private LeaderView leader = LeaderView.NONE;
   private long nextId = 1;
+  private long outOfReachSinceMillis = Clock.nowMillis();
 
   /**
    * Creates a client.
    *
    * @param sender sends a frame to a node and tells whether it could be sent
+   * @param linked tells whether a node is linked
    */
-  public LeaderClient(BiPredicate<String, FrameProto> sender) {
+  public LeaderClient(BiPredicate<String, FrameProto> sender, Predicate<String> linked) {
     this.sender = sender;
+    this.linked = linked;
   }
 
   @Override
@@ -80,8 +85,12 @@
     long nowMillis = Clock.nowMillis();
     Pending pending = new Pending(request, nowMillis, Math.max(1, timeoutMillis - ANSWER_MILLIS));
     long id = nextId++;
-    pendingById.put(id, pending);
     send(id, pending, nowMillis);
+    if (isHopeless(pending, nowMillis)) {
+      giveUp(pending, nowMillis);
+    } else {
+      pendingById.put(id, pending);
+    }
     return pending.reply;
   }
 
@@ -133,6 +142,7 @@
     long nowMillis = Clock.nowMillis();
     List<Pending> over = new ArrayList<>();
     synchronized (this) {
+      noteReach(nowMillis);
       pendingById
           .values()
           .removeIf(
@@ -160,11 +170,21 @@
   }
 
   private boolean isOver(Pending pending, long nowMillis) {
-    boolean hopeless =
-        !pending.mayBeCarriedOut()
-            && !leader.isKnown()
-            && nowMillis - pending.startedAtMillis >= NO_LEADER_MILLIS;
-    return hopeless || nowMillis >= pending.deadlineMillis;
+    return isHopeless(pending, nowMillis) || nowMillis >= pending.deadlineMillis;
+  }
+
+  private boolean isHopeless(Pending pending, long nowMillis) {
+    return !pending.mayBeCarriedOut()
+        && outOfReachSinceMillis > 0
+        && nowMillis - outOfReachSinceMillis >= NO_LEADER_MILLIS;
+  }
+
+  private void noteReach(long nowMillis) {
+    if (leader.isKnown() && linked.test(leader.node())) {
+      outOfReachSinceMillis = 0;
+    } else if (outOfReachSinceMillis == 0) {
+      outOfReachSinceMillis = nowMillis;
+    }
   }
 
   private static void giveUp(Pending pending, long nowMillis) {
@@ -191,6 +211,7 @@
     }
     CallProto call = CallProto.newBuilder().setCallId(id).setBody(pending.body).build();
     if (sender.test(leader.node(), FrameProto.newBuilder().setCall(call).build())) {
+      outOfReachSinceMillis = 0;
       pending.unsettledCopies++;
       pending.sentTo = leader;
       pending.sentAtMillis = nowMillis;
--- a/daemon/src/test/java/org/plantainknot/daemon/leader/LeaderClientTest.java
+++ b/daemon/src/test/java/org/plantainknot/daemon/leader/LeaderClientTest.java
@@ -24,18 +24,23 @@
   private final List<String> receivers = new ArrayList<>();
   private final List<FrameProto> frames = new ArrayList<>();
   private LeaderClient client;
+  private boolean linked;
 
   @BeforeMethod
   void createClient() {
+    linked = true;
     receivers.clear();
     frames.clear();
     client =
         new LeaderClient(
             (node, frame) -> {
-              receivers.add(node);
-              frames.add(frame);
-              return true;
-            });
+              if (linked) {
+                receivers.add(node);
+                frames.add(frame);
+              }
+              return linked;
+            },
+            node -> linked);
   }
 
   @Test
@@ -100,6 +105,24 @@
     assertTrue(reply.join() instanceof Reply.Unavailable);
   }
 
+  /** Load: the leader's VM has lost power, and nobody has told that it no longer leads. */
+  @Test
+  void aRequestThatComesLongAfterTheLeaderFellOutOfReachIsRefusedAtOnce()
+      throws InterruptedException {
+    client.heardOfLeader(new LeaderView("c1", 1, ""));
+    client.tick();
+    linked = false;
+    client.tick();
+    CompletableFuture<Reply> early = call(3_000);
+    assertFalse(early.isDone(), "a new leader may be elected soon");
+    Thread.sleep(1_600);
+    client.tick();
+    assertTrue(early.getNow(null) instanceof Reply.Unavailable);
+    assertTrue(call(3_000).isDone());
+    linked = true;
+    assertFalse(call(3_000).isDone(), "the leader is in reach again");
+  }
+
   private CompletableFuture<Reply> call(long timeoutMillis) {
     return client.handle(REQUEST, timeoutMillis).toCompletableFuture();
   }
