--- /dev/null
+++ b/bench/src/test/java/org/plantainknot/bench/soak/SoakCluster.java
@@ -0,0 +1,118 @@
+package org.plantainknot.bench.soak;
+
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.stream.IntStream;
+import org.plantainknot.bench.cluster.DaemonProcess;
+import org.plantainknot.daemon.settings.HostPort;
+
+/** Gateways and controllers as processes, each at an address of its own. */
+final class SoakCluster implements AutoCloseable {
+
+  private static final int CALLER_PORT = 7001;
+  private static final int READY_PORT = 7002;
+  private static final int CONTROL_PORT = 7003;
+  private static final int MEMBER_PORT = 7004;
+  private static final long STOP_MILLIS = 8_000;
+
+  private final Path folder;
+  private final int subnet;
+  private final HostPort machines;
+  private final List<String> controllers;
+  private final List<String> gateways;
+  private final Map<String, DaemonProcess> processes = new LinkedHashMap<>();
+
+  /**
+   * Prepares a cluster.
+   *
+   * @param subnet third number of the processes' addresses
+   */
+  SoakCluster(Path folder, int subnet, int controllers, int gateways, HostPort machines) {
+    this.folder = folder;
+    this.subnet = subnet;
+    this.machines = machines;
+    this.controllers = IntStream.range(0, controllers).mapToObj(i -> "c" + i).toList();
+    this.gateways = IntStream.range(0, gateways).mapToObj(i -> "g" + i).toList();
+  }
+
+  List<String> controllers() {
+    return controllers;
+  }
+
+  List<String> gateways() {
+    return gateways;
+  }
+
+  HostPort callers(String gateway) {
+    return new HostPort(host(gateway), CALLER_PORT);
+  }
+
+  HostPort control(String controller) {
+    return new HostPort(host(controller), CONTROL_PORT);
+  }
+
+  DaemonProcess process(String node) {
+    return processes.get(node);
+  }
+
+  void startAll() {
+    controllers.forEach(node -> start(node, true));
+    gateways.forEach(node -> start(node, true));
+  }
+
+  /** Starts a node again, with the disk that it had. */
+  void restart(String node) {
+    start(node, false);
+  }
+
+  @Override
+  public void close() {
+    processes.values().forEach(DaemonProcess::thaw);
+    processes.values().forEach(DaemonProcess::kill);
+  }
+
+  /** Stops a node gracefully, and returns whether it ended in time. */
+  boolean stop(String node) {
+    return process(node).stop(STOP_MILLIS);
+  }
+
+  private void start(String node, boolean bootstrap) {
+    try {
+      Path settings = folder.resolve(node + ".ini");
+      Files.writeString(settings, settings(node, bootstrap));
+      processes.put(node, DaemonProcess.start(settings, folder.resolve(node + ".log"), List.of()));
+    } catch (IOException e) {
+      throw new UncheckedIOException(e);
+    }
+  }
+
+  private String settings(String node, boolean bootstrap) {
+    boolean controller = controllers.contains(node);
+    List<String> seeds =
+        controllers.stream().limit(3).map(seed -> control(seed).toString()).toList();
+    String role =
+        controller
+            ? "role = controller\ndataFolder = " + folder.resolve(node) + "\n"
+            : "role = gateway\n";
+    String listeners =
+        controller
+            ? "control = " + control(node) + "\n"
+            : "callers = " + callers(node) + "\nready = " + host(node) + ":" + READY_PORT + "\n";
+    return ("[process]\nnode = " + node + "\n" + role)
+        + ("bootstrap = " + bootstrap + "\nlossesToBear = " + (controllers.size() - 1) / 2)
+        + ("\nseeds = " + String.join(",", seeds))
+        + ("\n[listen]\nhost = " + host(node) + "\nmemberPort = " + MEMBER_PORT + "\n" + listeners)
+        + ("metricsPort = 0\n[platform]\nmachines = " + machines + "\n");
+  }
+
+  private String host(String node) {
+    int number =
+        controllers.contains(node) ? controllers.indexOf(node) : 100 + gateways.indexOf(node);
+    return "127.1." + subnet + "." + (1 + number);
+  }
+}
--- a/core/src/test/java/org/plantainknot/core/schedule/DispatchOracle.java
+++ b/core/src/test/java/org/plantainknot/core/schedule/DispatchOracle.java
@@ -19,7 +19,7 @@
 import org.plantainknot.core.placement.Resources;
 
 /** What must hold of runs, as the workers see them. */
-final class DispatchOracle {
+public final class DispatchOracle {
 
   private static final long CANCEL_MILLIS = 3_000;
 
@@ -30,11 +30,11 @@
   private final Set<TaskId> doneAndNoted = new HashSet<>();
   private final Set<RunId> everStarted = new HashSet<>();
 
-  void submitted(JobSpec job) {
+  public void submitted(JobSpec job) {
     jobs.put(job.id(), job);
   }
 
-  void cancelled(String job, long nowMillis) {
+  public void cancelled(String job, long nowMillis) {
     cancelledAtMillis.put(job, nowMillis);
   }
 
@@ -78,6 +78,11 @@
     }
   }
 
+  /** Returns whether any run of a job has begun. */
+  public boolean hasStarted(String job) {
+    return everStarted.stream().anyMatch(run -> run.task().job().equals(job));
+  }
+
   boolean fits(RunId added, Collection<RunId> present, Resources capacity) {
     Resources sum = sizeOf(added);
     for (RunId run : present) {
@@ -86,7 +91,7 @@
     return sum.fitsInto(capacity);
   }
 
-  void assertCompleted(JobSpec job) {
+  public void assertCompleted(JobSpec job) {
     for (int step = 0; step < job.steps().size(); step++) {
       for (int index = 0; index < job.steps().get(step).count(); index++) {
         TaskId task = new TaskId(job.id(), 0, step, index);
--- a/core/src/test/java/org/plantainknot/core/schedule/FakeWorker.java
+++ b/core/src/test/java/org/plantainknot/core/schedule/FakeWorker.java
@@ -15,7 +15,7 @@
 import org.plantainknot.core.placement.Resources;
 
 /** Worker in virtual time that keeps fences, leases, stops and its list of ends to the letter. */
-final class FakeWorker {
+public final class FakeWorker {
 
   static final long LEASE_MILLIS = 6_000;
   private static final double CLOCK_RATE = 0.98;
@@ -37,14 +37,15 @@
   private long nextEnd = 1;
   private long sequence;
 
-  FakeWorker(String address, Resources capacity, List<String> labels, DispatchOracle oracle) {
+  public FakeWorker(
+      String address, Resources capacity, List<String> labels, DispatchOracle oracle) {
     this.address = address;
     this.capacity = capacity;
     this.labels = labels;
     this.oracle = oracle;
   }
 
-  void begin(String id, long nowMillis) {
+  public void begin(String id, long nowMillis) {
     running.keySet().forEach(oracle::gone);
     running.clear();
     closedRun.clear();
@@ -58,11 +59,11 @@
     sequence = 0;
   }
 
-  WorkerLife life() {
+  public WorkerLife life() {
     return life;
   }
 
-  WorkerHeartbeat heartbeat() {
+  public WorkerHeartbeat heartbeat() {
     return new WorkerHeartbeat(
         life,
         ++sequence,
@@ -76,12 +77,12 @@
         "m-" + address);
   }
 
-  long clock(long nowMillis) {
+  public long clock(long nowMillis) {
     return (long) (CLOCK_RATE * (nowMillis - bornAtMillis));
   }
 
   /** Ends what is done and, once the lease has run out, everything. */
-  void advance(long nowMillis) {
+  public void advance(long nowMillis) {
     boolean lapsed = clock(nowMillis) > leaseUntilMillis;
     if (lapsed) {
       ended.forEach(listed -> lapsedSince.add(listed.number()));
@@ -96,7 +97,7 @@
     }
   }
 
-  CallOutcome start(Action.Start start, long durationMillis, boolean fails, long nowMillis) {
+  public CallOutcome start(Action.Start start, long durationMillis, boolean fails, long nowMillis) {
     advance(nowMillis);
     if (!start.target().life().worker().equals(life.worker())) {
       return CallOutcome.OTHER_LIFE;
@@ -122,7 +123,7 @@
     return CallOutcome.ACCEPTED;
   }
 
-  CallOutcome stop(Action.Stop stop, long nowMillis) {
+  public CallOutcome stop(Action.Stop stop, long nowMillis) {
     advance(nowMillis);
     if (!stop.target().life().worker().equals(life.worker())) {
       return CallOutcome.OTHER_LIFE;
@@ -138,7 +139,7 @@
   }
 
   /** Returns the report, or null if the renewal is fenced or meant for another life. */
-  WorkerReport renew(Action.Renew renew, long nowMillis) {
+  public WorkerReport renew(Action.Renew renew, long nowMillis) {
     advance(nowMillis);
     boolean other = !renew.target().life().worker().equals(life.worker());
     if (other || renew.fence() < fence) {
