Write what was proposed before a compaction, not after it once more

The replay of the log didn't compare indexes, so that a process that started again had every later entry one place off. Change: the driver carries out what the replica asks for before it compacts; the replay stops with a clear error at an entry that is out of its place. Test: ReplicaDriverTest, seen failing (three entries on the disk where there were two).

--- a/daemon/src/main/java/org/plantainknot/daemon/control/ReplicaDriver.java
+++ b/daemon/src/main/java/org/plantainknot/daemon/control/ReplicaDriver.java
@@ -64,6 +64,11 @@
 
   /** Carries out what the replica asks for, until it asks for nothing more. */
   public void drain() {
+    carryOutAll();
+    state.settled();
+  }
+
+  private void carryOutAll() {
     for (Ready work = replica.ready(); !work.isEmpty(); work = replica.ready()) {
       boolean sendFirst = mode != SyncMode.BEFORE_MESSAGES || work.records().isEmpty();
       if (sendFirst) {
@@ -77,7 +82,6 @@
       }
       work.committed().forEach(state::apply);
     }
-    state.settled();
   }
 
   /** Notes that everything up to a token is on disk. */
@@ -89,8 +93,12 @@
     drain();
   }
 
-  /** Replaces the applied entries by a snapshot of the state. */
+  /**
+   * Replaces the applied entries by a snapshot of the state. What was proposed since the last call
+   * is written before, or it would be on the disk twice: after the snapshot, and as a record.
+   */
   public Snapshot compact(long appliedIndex, byte[] data) {
+    carryOutAll();
     Snapshot snapshot = replica.compact(appliedIndex, data);
     writer.compact(snapshot, replica.entries());
     return snapshot;
--- a/daemon/src/main/java/org/plantainknot/daemon/storage/DiskStorage.java
+++ b/daemon/src/main/java/org/plantainknot/daemon/storage/DiskStorage.java
@@ -249,10 +249,19 @@
         int kept = Math.toIntExact(truncated.fromIndex() - snapshotIndex - 1);
         entries.subList(kept, entries.size()).clear();
       } else if (logRecord instanceof Appended appended) {
-        entries.add(appended.entry());
+        append(appended.entry());
       }
     }
 
+    private void append(Entry entry) {
+      long expected = snapshotIndex + entries.size() + 1;
+      if (entry.index() != expected) {
+        throw new StorageException(
+            "log is damaged: entry " + entry.index() + " where " + expected + " should be", null);
+      }
+      entries.add(entry);
+    }
+
     HardState hardState() {
       return hardState;
     }
