Known red: a start is repeated while its run is being given up

Callers saw work run twice: the second run began after the first had ended as done and that end had been acknowledged. A refused start proposes to give its run up; until the log commits that, the run stays in the phase of starting, and the start is sent again after the retry time. If the worker has room by then it runs the work, while the commit of the give-up frees the task for another run.

The dispatcher test sends the refusal and waits for the retry time.

--- a/core/src/test/java/org/plantainknot/core/schedule/DispatchFuzzTest.java
+++ b/core/src/test/java/org/plantainknot/core/schedule/DispatchFuzzTest.java
@@ -38,6 +38,7 @@
   private static final long FAULTS_END_MILLIS = 30_000;
   private static final long END_MILLIS = 90_000;
   private static final long COMMIT_MILLIS = 12;
+  private static final long SLOW_COMMIT_MILLIS = 4_000;
   private static final Resources CAPACITY = new Resources(8_000, 16_000, 0);
 
   private record Event(long atMillis, long order, Runnable task) {}
@@ -52,6 +53,8 @@
   private Dispatcher dispatcher;
   private Planner planner;
   private long term;
+  private boolean commitsSlowly;
+  private long lastCommitAtMillis;
   private DispatchOracle oracle;
   private List<FakeWorker> workers;
   private Map<String, Long> unresponsiveUntilMillis;
@@ -69,6 +72,17 @@
 
   @Test(dataProvider = "seeds")
   void eachJobCompletesAndNoTaskRunsTwice(int seed) {
+    commitsSlowly = false;
+    runToCompletion(seed);
+  }
+
+  @Test(dataProvider = "seeds", groups = "known-red")
+  void noTaskRunsTwiceWhileCommitsTakeSeconds(int seed) {
+    commitsSlowly = true;
+    runToCompletion(seed);
+  }
+
+  private void runToCompletion(int seed) {
     reset(seed);
     while (!events.isEmpty() && nowMillis < END_MILLIS) {
       Event event = events.remove();
@@ -104,6 +118,7 @@
     nowMillis = 0;
     order = 0;
     term = 0;
+    lastCommitAtMillis = 0;
     ledger = new JobLedger();
     directory = new WorkerDirectory();
     oracle = new DispatchOracle();
@@ -201,8 +216,9 @@
 
   private void commit(JobCommand command) {
     uncommitted.add(command);
+    lastCommitAtMillis = Math.max(lastCommitAtMillis, nowMillis + commitMillis());
     at(
-        nowMillis + COMMIT_MILLIS,
+        lastCommitAtMillis,
         () -> {
           if (uncommitted.remove(command)) {
             apply(command);
@@ -210,6 +226,11 @@
         });
   }
 
+  private long commitMillis() {
+    boolean slow = commitsSlowly && nowMillis < FAULTS_END_MILLIS && random.nextInt(30) == 0;
+    return slow ? random.nextLong(SLOW_COMMIT_MILLIS) : COMMIT_MILLIS;
+  }
+
   private void apply(JobCommand command) {
     ledger.apply(nowMillis, command);
     if (command instanceof JobCommand.Assign assign) {
--- a/core/src/test/java/org/plantainknot/core/schedule/DispatcherTest.java
+++ b/core/src/test/java/org/plantainknot/core/schedule/DispatcherTest.java
@@ -137,6 +137,16 @@
     assertTrue(givesUp(answerStart(CallOutcome.NO_ROOM)));
   }
 
+  @Test(groups = "known-red")
+  void startIsNotRepeatedWhileItsRunIsBeingGivenUp() {
+    start(false);
+    assign();
+    reportAndTick(List.of());
+    assertTrue(givesUp(answerStart(CallOutcome.NO_ROOM)));
+    nowMillis += TIMING.retryMillis();
+    assertFalse(starts(reportAndTick(List.of())), "the task becomes free once the log commits");
+  }
+
   @Test
   void refusalDoesNotResolveStartsSentByAnEarlierLeader() {
     start(false);
@@ -234,6 +244,10 @@
     return actions.stream().anyMatch(action -> action instanceof Action.Stop);
   }
 
+  private static boolean starts(List<Action> actions) {
+    return actions.stream().anyMatch(action -> action instanceof Action.Start);
+  }
+
   private static WorkerHeartbeat heartbeat(WorkerPhase phase, long sequence) {
     return new WorkerHeartbeat(
         INCARNATION,
