Keep the end of done work whose run was given up

The ledger raised the acknowledged end number for ends that it then dropped: the end of a run that had been given up was acknowledged, so the worker discarded it, and the task was started again.

An end as done of the latest run of a task now finishes the task even if the run was given up. Other kinds of end stay dropped: an end that is recorded already can't be told from one of a given-up run, and would count twice as a failed attempt.

JobLedgerTest.taskThatIsDoneIsNotStartedAgainBecauseItsRunWasGivenUp failed before (the task was waiting).

--- a/core/src/main/java/org/plantainknot/core/job/JobLedger.java
+++ b/core/src/main/java/org/plantainknot/core/job/JobLedger.java
@@ -260,7 +260,7 @@
     lastEnds.merge(noteEnds.worker(), noteEnds.lastEnd(), Math::max);
     for (RunEnd end : noteEnds.ends()) {
       Task task = currentTask(end.run());
-      if (task != null && mayBeRunningOn(task, noteEnds.worker())) {
+      if (task != null && appliesTo(task, noteEnds.worker(), end.kind())) {
         recordEnd(jobs.get(task.id().job()), task, end);
       }
     }
@@ -268,12 +268,14 @@
 
   /**
    * A start order identifies the worker without its incarnation, so a later incarnation than the
-   * assigned one may have accepted the run.
+   * assigned one may have accepted the run. Work that is done stays done even if its run was given
+   * up, because the worker discards the end.
    */
-  private static boolean mayBeRunningOn(Task task, WorkerIncarnation incarnation) {
+  private static boolean appliesTo(Task task, WorkerIncarnation incarnation, EndKind kind) {
     WorkerIncarnation assigned = task.worker();
-    return assigned != null
-        && (assigned.equals(incarnation) || assigned.isEarlierThan(incarnation));
+    return assigned == null
+        ? kind == EndKind.DONE && !task.isDone()
+        : assigned.equals(incarnation) || assigned.isEarlierThan(incarnation);
   }
 
   private void recordEnd(Job job, Task task, RunEnd end) {
