Count the capacity of an assignment until it is applied, however long its commit takes

A proposed assignment that was not applied within a second was forgotten, so that its capacity was planned for other tasks and its tasks for other workers. Both assignments stayed in the log; the later ones were refused by the ledger or by the workers. On workers without an admission check they would have broken the limit of their capacity.

An assignment that is proposed is in the log of this term and is applied unless the leader loses office, and the planner with it. So no timeout is needed. Assignments to no effect still free their capacity as they are applied.

PlannerTest.capacityOfAnUncommittedAssignmentIsNotPlannedForOtherTasks failed before (one assignment too many).

--- a/core/src/main/java/org/plantainknot/core/schedule/Planner.java
+++ b/core/src/main/java/org/plantainknot/core/schedule/Planner.java
@@ -30,9 +30,6 @@
 
   private static final int MAX_ASSIGNMENTS = 200;
 
-  /** Time after which a proposed assignment that was not applied is planned again. */
-  private static final long PROPOSAL_TIMEOUT_MILLIS = 1_000;
-
   private final JobLedger ledger;
   private final WorkerDirectory directory;
   private final Dispatcher dispatcher;
@@ -40,7 +37,8 @@
   private final Map<String, Shortage> shortages = new HashMap<>();
   private final Map<TaskId, Proposal> proposals = new HashMap<>();
 
-  private record Proposal(Assignment assignment, StepSpec step, long atMillis) {}
+  /** Assignment that is in the log of this term, and is applied unless the leader loses office. */
+  private record Proposal(Assignment assignment, StepSpec step) {}
 
   /** Creates a planner for one leader's term. */
   public Planner(JobLedger ledger, WorkerDirectory directory, Dispatcher dispatcher) {
@@ -73,7 +71,6 @@
    * @param wallMillis wall-clock time, which the schedules of jobs refer to
    */
   public List<Assignment> plan(long nowMillis, long wallMillis) {
-    proposals.values().removeIf(p -> nowMillis - p.atMillis() > PROPOSAL_TIMEOUT_MILLIS);
     shortages.clear();
     dispatcher.advisor().startPlanningRound();
     List<Group> groups = waitingGroups(wallMillis);
@@ -252,8 +249,7 @@
     }
     placed.forEach(
         assignment ->
-            proposals.put(
-                assignment.run().task(), new Proposal(assignment, group.spec(), nowMillis)));
+            proposals.put(assignment.run().task(), new Proposal(assignment, group.spec())));
     return placed;
   }
 
--- a/core/src/test/java/org/plantainknot/core/schedule/PlannerTest.java
+++ b/core/src/test/java/org/plantainknot/core/schedule/PlannerTest.java
@@ -18,6 +18,8 @@
   private static final long OBJECTIVE_MILLIS =
       (long) (LeaderFixture.STRETCH * TASK_MILLIS) + LeaderFixture.TARGET_LATENCY_MILLIS;
 
+  private static final long SLOW_COMMIT_MILLIS = 5_000;
+
   private LeaderFixture leader;
 
   @BeforeMethod
@@ -71,6 +73,17 @@
     assertEquals(assignments.stream().map(Assignment::worker).distinct().count(), 1);
   }
 
+  @Test
+  void capacityOfAnUncommittedAssignmentIsNotPlannedForOtherTasks() {
+    leader.addWorker("w1", "busy");
+    leader.submit("one", "busy", wholeWorker());
+    assertEquals(leader.planner.plan(leader.nowMillis, leader.nowMillis).size(), 1);
+    leader.nowMillis += SLOW_COMMIT_MILLIS;
+    leader.reportFromAllWorkers();
+    leader.submit("two", "busy", wholeWorker());
+    assertEquals(leader.planner.plan(leader.nowMillis, leader.nowMillis), List.of());
+  }
+
   private static StepSpec wholeWorker() {
     return LeaderFixture.step(1, 16_000).estimateMillis(TASK_MILLIS).build();
   }
