Propose the ends of runs once, however long their commit takes

While the commits took seconds, the leader proposed the same ends again each 300 ms, for each of some 250 workers, which kept the commits slow. The number of the last proposed end is no longer forgotten after that time: the proposal is in the log of this term. Leases are renewed meanwhile as before, at the same pace.

DispatcherTest.endsAreProposedOnceHoweverLongTheirCommitTakes failed before (10 proposals in 4 s). leaseIsExtendedWhileEndsAwaitTheirCommit held before and after.

--- a/core/src/main/java/org/plantainknot/core/schedule/Dispatcher.java
+++ b/core/src/main/java/org/plantainknot/core/schedule/Dispatcher.java
@@ -36,6 +36,8 @@
   private static final long SUSPECT_BLOCK_MILLIS = 2_000;
   private static final long NO_ROOM_BLOCK_MILLIS = 300;
   private static final long RENEW_RETRY_MILLIS = 200;
+
+  /** Pause between renewals while ends await their commit, since they are answered at once. */
   private static final long COMMIT_WAIT_MILLIS = 300;
 
   private final JobLedger ledger;
@@ -245,9 +247,6 @@
     if (endsPending && nowMillis - session.renewSentAtMillis() < COMMIT_WAIT_MILLIS) {
       return;
     }
-    if (endsPending) {
-      session.clearProposedEnds();
-    }
     actionQueue.renew(worker, session, nowMillis);
   }
 
--- a/core/src/main/java/org/plantainknot/core/schedule/WorkerSession.java
+++ b/core/src/main/java/org/plantainknot/core/schedule/WorkerSession.java
@@ -175,10 +175,6 @@
     lastProposedEnd = Math.max(lastProposedEnd, number);
   }
 
-  void clearProposedEnds() {
-    lastProposedEnd = 0;
-  }
-
   boolean hasEnded() {
     return incarnationEnded;
   }
--- a/core/src/test/java/org/plantainknot/core/schedule/DispatcherTest.java
+++ b/core/src/test/java/org/plantainknot/core/schedule/DispatcherTest.java
@@ -8,11 +8,14 @@
 import java.util.List;
 import org.plantainknot.core.job.AdviceTerms;
 import org.plantainknot.core.job.Assignment;
+import org.plantainknot.core.job.EndKind;
 import org.plantainknot.core.job.FleetConfig;
 import org.plantainknot.core.job.JobCommand;
+import org.plantainknot.core.job.JobCommand.NoteEnds;
 import org.plantainknot.core.job.JobLedger;
 import org.plantainknot.core.job.JobSpec;
 import org.plantainknot.core.job.QueueConfig;
+import org.plantainknot.core.job.RunEnd;
 import org.plantainknot.core.job.RunId;
 import org.plantainknot.core.job.Schedule;
 import org.plantainknot.core.job.ServiceConfig;
@@ -167,6 +170,43 @@
     }
   }
 
+  @Test
+  void endsAreProposedOnceHoweverLongTheirCommitTakes() {
+    start(false);
+    int proposals = 0;
+    for (int i = 0; i < 40; i++) {
+      proposals += countProposedEnds(reportDone());
+      nowMillis += 100;
+    }
+    assertEquals(proposals, 1);
+  }
+
+  @Test
+  void leaseIsExtendedWhileEndsAwaitTheirCommit() {
+    start(false);
+    long renewals = 0;
+    for (int i = 0; i < 40; i++) {
+      renewals += reportDone().stream().filter(a -> a instanceof Action.Renew).count();
+      nowMillis += 100;
+    }
+    assertTrue(renewals >= 10, renewals + " renewals in 4 s");
+  }
+
+  /** Reports that the run is done, advances the dispatcher and returns its actions. */
+  private List<Action> reportDone() {
+    List<ListedEnd> ends = List.of(new ListedEnd(1, new RunEnd(RUN, EndKind.DONE, "")));
+    dispatcher.renewed(
+        TARGET, nowMillis, new WorkerReport(1, nowMillis + 1, List.of(), ends), nowMillis);
+    return tick();
+  }
+
+  private static int countProposedEnds(List<Action> actions) {
+    return (int)
+        actions.stream()
+            .filter(a -> a instanceof Action.Propose p && p.command() instanceof NoteEnds)
+            .count();
+  }
+
   private void start(boolean persistent) {
     QueueConfig queue =
         new QueueConfig("q", "h", "/q/", "s", 0, 4, 2, 1_000, 3_000, AdviceTerms.NONE);
