Order a machine once, and only as the ledger recorded it

The maintainer sent each order that the log had committed, even one that the ledger had refused because another order for the machine was open, and took the worker seen at that time for the one taken down. A copy that was applied after the first had been carried out moved the machine once more.

OpenMachineOrders knows the orders that are recorded, or proposed and not applied yet. One order a machine is open at a time, whatever the commit takes, and only recorded ones are sent.

PoolBalancerTest.noMachineIsOrderedAgainWhileItsOrderIsUncommitted and MaintainerTest.orderThatTheLedgerRefusedIsNotSent failed before (one order, and one sent order, too many).

--- a/core/src/main/java/org/plantainknot/core/schedule/Maintainer.java
+++ b/core/src/main/java/org/plantainknot/core/schedule/Maintainer.java
@@ -41,10 +41,10 @@
   private final long term;
   private final OrderWait orderWait;
   private final MachineTable machines = new MachineTable();
+  private final OpenMachineOrders openOrders;
   private final PoolBalancer balancer;
   private final Map<String, Long> downSinceMillis = new HashMap<>();
   private final Map<String, Long> nextSendMillis = new HashMap<>();
-  private final Map<String, Long> proposedAtMillis = new HashMap<>();
   private final Map<String, WorkerIncarnation> incarnationByMachine = new HashMap<>();
   private final Map<String, WorkerIncarnation> incarnationBeforeOrder = new HashMap<>();
   private final Set<String> draining = new HashSet<>();
@@ -69,7 +69,8 @@
     this.timing = timing;
     this.term = term;
     this.orderWait = orderTimes.waitForNewLeader(ledger, timing.leaderWaitMillis(), nowMillis);
-    this.balancer = new PoolBalancer(ledger, directory, dispatcher, planner, machines);
+    this.openOrders = new OpenMachineOrders(ledger, dispatcher);
+    this.balancer = new PoolBalancer(ledger, directory, dispatcher, planner, machines, openOrders);
     for (WaveProgress wave : ledger.waves()) {
       wave.machines(MachinePhase.BEGUN).forEach(m -> downSinceMillis.put(m, nowMillis));
     }
@@ -88,8 +89,9 @@
   /** Handles a command that was applied to the replicated job state. */
   public void applied(JobCommand command, long nowMillis) {
     if (command instanceof OrderMachine order) {
-      proposedAtMillis.remove(order.order().machine());
-      sendUnlessWorkPlaced(order.order(), nowMillis);
+      if (openOrders.applied(order.order())) {
+        sendUnlessWorkPlaced(order.order(), nowMillis);
+      }
     } else if (command instanceof SettleMachine settle) {
       String machine = settle.order().machine();
       nextSendMillis.remove(machine);
@@ -178,7 +180,7 @@
   }
 
   private void resendOrders(long nowMillis) {
-    for (MachineOrder order : ledger.orders()) {
+    for (MachineOrder order : openOrders.recorded()) {
       boolean due = nowMillis >= nextSendMillis.getOrDefault(order.machine(), 0L);
       if (due && orderWait.isOver(order.machine(), nowMillis)) {
         send(order, nowMillis);
@@ -241,8 +243,7 @@
       }
     }
     if (empty) {
-      MachineOrder order = new MachineOrder(name, wave.wave().number(), "");
-      proposeOnce(name, new OrderMachine(order), nowMillis);
+      openOrders.propose(new MachineOrder(name, wave.wave().number(), ""));
     }
   }
 
@@ -264,14 +265,6 @@
     return latest;
   }
 
-  private void proposeOnce(String machine, JobCommand command, long nowMillis) {
-    long proposed = proposedAtMillis.getOrDefault(machine, Long.MIN_VALUE / 2);
-    if (nowMillis - proposed >= ORDER_RETRY_MILLIS) {
-      proposedAtMillis.put(machine, nowMillis);
-      dispatcher.propose(command);
-    }
-  }
-
   /**
    * Stops a run of a persistent task unless another task of its step is unavailable. Other runs are
    * left to end by themselves.
--- a/core/src/main/java/org/plantainknot/core/schedule/PoolBalancer.java
+++ b/core/src/main/java/org/plantainknot/core/schedule/PoolBalancer.java
@@ -10,7 +10,6 @@
 import java.util.function.Predicate;
 import java.util.function.ToLongFunction;
 import java.util.stream.Collectors;
-import org.plantainknot.core.job.JobCommand.OrderMachine;
 import org.plantainknot.core.job.JobLedger;
 import org.plantainknot.core.job.MachineOrder;
 import org.plantainknot.core.job.ServiceConfig;
@@ -46,6 +45,7 @@
   private final Dispatcher dispatcher;
   private final Planner planner;
   private final MachineTable machines;
+  private final OpenMachineOrders openOrders;
   private final ArrivingMachines arrivingMachines;
   private final Map<String, Long> idleSinceMillis = new HashMap<>();
   private final Set<String> claimedWorkers = new HashSet<>();
@@ -58,12 +58,14 @@
       WorkerDirectory directory,
       Dispatcher dispatcher,
       Planner planner,
-      MachineTable machines) {
+      MachineTable machines,
+      OpenMachineOrders openOrders) {
     this.ledger = ledger;
     this.directory = directory;
     this.dispatcher = dispatcher;
     this.planner = planner;
     this.machines = machines;
+    this.openOrders = openOrders;
     this.arrivingMachines = new ArrivingMachines(directory);
   }
 
@@ -73,8 +75,7 @@
    */
   Set<String> leavingWorkers() {
     Set<String> workers = new HashSet<>(claimedWorkers);
-    Set<String> ordered =
-        ledger.orders().stream().map(MachineOrder::machine).collect(Collectors.toSet());
+    Set<String> ordered = openOrders.machines();
     for (WorkerHeartbeat worker : directory.all()) {
       if (ordered.contains(worker.machine())) {
         workers.add(worker.life().worker());
@@ -163,7 +164,7 @@
     Set<String> sparePools = sparePools();
     Set<String> fixed = new HashSet<>(blocked);
     fixed.addAll(arrivingMachines.names());
-    ledger.orders().forEach(order -> fixed.add(order.machine()));
+    fixed.addAll(openOrders.machines());
     List<MovableMachine> candidates = new ArrayList<>();
     for (Machine machine : machines.all()) {
       boolean movable =
@@ -269,8 +270,7 @@
   }
 
   private long countArriving(String pool) {
-    long ordered = ledger.orders().stream().filter(order -> order.pool().equals(pool)).count();
-    return arrivingMachines.countTo(pool) + ordered;
+    return arrivingMachines.countTo(pool) + openOrders.countTo(pool);
   }
 
   private void returnToSparePool(List<MovableMachine> idle, long nowMillis) {
@@ -289,7 +289,7 @@
   }
 
   private void order(MovableMachine candidate, String pool) {
-    dispatcher.propose(new OrderMachine(new MachineOrder(candidate.machine(), 0, pool)));
+    openOrders.propose(new MachineOrder(candidate.machine(), 0, pool));
   }
 
   private Set<String> sparePools() {
--- a/core/src/test/java/org/plantainknot/core/schedule/MaintainerTest.java
+++ b/core/src/test/java/org/plantainknot/core/schedule/MaintainerTest.java
@@ -98,6 +98,24 @@
     assertEquals(stopped(tick()), List.of(runByIncarnation.get(incarnation("w0"))));
   }
 
+  @Test
+  void orderThatTheLedgerRefusedIsNotSent() {
+    MachineOrder first = new MachineOrder("m9", 0, "s");
+    MachineOrder second = new MachineOrder("m9", 0, "other");
+    assertEquals(sentAfterApplying(first), List.of(first));
+    assertEquals(sentAfterApplying(second), List.of());
+  }
+
+  private List<MachineOrder> sentAfterApplying(MachineOrder order) {
+    JobCommand command = new JobCommand.OrderMachine(order);
+    ledger.apply(nowMillis, command);
+    maintainer.applied(command, nowMillis);
+    return dispatcher.drain().stream()
+        .filter(action -> action instanceof Action.SendMachineOrder)
+        .map(action -> ((Action.SendMachineOrder) action).order())
+        .toList();
+  }
+
   @Test
   void onlyOneTaskOfAStepIsStoppedAtATime() {
     startWave(2, "m0", "m1");
--- a/core/src/test/java/org/plantainknot/core/schedule/PoolBalancerTest.java
+++ b/core/src/test/java/org/plantainknot/core/schedule/PoolBalancerTest.java
@@ -24,7 +24,12 @@
     leader.addSpareMachine("spare-1");
     balancer =
         new PoolBalancer(
-            leader.ledger, leader.directory, leader.dispatcher, leader.planner, leader.machines);
+            leader.ledger,
+            leader.directory,
+            leader.dispatcher,
+            leader.planner,
+            leader.machines,
+            new OpenMachineOrders(leader.ledger, leader.dispatcher));
     leader.addWorker("busy-1", "busy");
     for (int i = 1; i <= 4; i++) {
       leader.addWorker("idle-" + i, "idle");
@@ -40,6 +45,17 @@
     assertTrue(orders.get(0).machine().startsWith("m-idle"), orders.toString());
   }
 
+  @Test
+  void noMachineIsOrderedAgainWhileItsOrderIsUncommitted() {
+    submit("busy", 16 + 10, 1_000, false);
+    assertEquals(orders().size(), 1);
+    for (int i = 0; i < 20; i++) {
+      leader.nowMillis += 100;
+      leader.reportFromAllWorkers();
+      assertEquals(orders(), List.of());
+    }
+  }
+
   @Test
   void theSpareMachineIsMovedWhenNoOtherIsIdle() {
     submit("idle", 4, 16_000, false);
