Propose a change once while copies of its request arrive

Cause: a request that is not answered is sent again by LeaderClient, and by the caller to other nodes. The leader proposed each copy to the log, so that a slow commit put more of the same bytes in front of itself: each copy of a large configuration goes to all members.

Evidence: RequestProcessorTest. On the code before, three copies of a pending configuration were proposed three times ("expected [1] but found [3]"), two copies of a submission, cancellation or wave twice.

Ruled out: joining by identifier only, since a wave of the same number with other content must be refused and not answered like the pending one.

Why it works: a request whose command equals that of a proposed and not yet applied one waits for the same entry. The changes are idempotent, so the copy applied right after the first has the same reply, and that point lies between the arrival of each copy and its answer. The pending changes are dropped with leadership as before. A command that the log refuses leaves nothing behind; before, it was kept under index -1.

The log line of an applied change tells how many requests it answered.

--- a/daemon/src/main/java/org/plantainknot/daemon/controller/RequestProcessor.java
+++ b/daemon/src/main/java/org/plantainknot/daemon/controller/RequestProcessor.java
@@ -4,9 +4,7 @@
 import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.Deque;
-import java.util.HashMap;
 import java.util.List;
-import java.util.Map;
 import java.util.Optional;
 import java.util.function.Consumer;
 import java.util.function.ToLongFunction;
@@ -35,27 +33,25 @@
 
   private record Read(long round, Request request, Consumer<Reply> answer) {}
 
-  private record Change(Request request, Consumer<Reply> answer) {}
-
   private final JobLedger ledger;
-  private final ToLongFunction<JobCommand> proposer;
-  private final Map<Long, Change> changeByIndex = new HashMap<>();
+  private final PendingChanges pendingChanges;
   private final List<Read> readsAwaitingRound = new ArrayList<>();
   private final Deque<Read> pendingReads = new ArrayDeque<>();
 
   /**
    * Creates a processor without pending requests.
    *
-   * @param proposer proposes a command to the log and returns its index
+   * @param proposer proposes a command to the log and returns its index, or a negative number if
+   *     this member doesn't lead
    */
   RequestProcessor(JobLedger ledger, ToLongFunction<JobCommand> proposer) {
     this.ledger = ledger;
-    this.proposer = proposer;
+    this.pendingChanges = new PendingChanges(proposer);
   }
 
   /** Drops all requests because this member is no longer the leader; their senders retry them. */
   void clear() {
-    changeByIndex.clear();
+    pendingChanges.clear();
     readsAwaitingRound.clear();
     pendingReads.clear();
   }
@@ -95,16 +91,16 @@
     }
   }
 
-  /** Answers the change proposed at a log index, if there is one. */
+  /** Answers all requests for the change proposed at a log index, if there is one. */
   void applied(long index, Applied result) {
-    Change change = changeByIndex.remove(index);
-    if (change == null) {
-      return;
-    }
-    Reply reply = replyTo(change.request(), result);
+    pendingChanges.remove(index).ifPresent(change -> answer(change, index, result));
+  }
+
+  private static void answer(PendingChanges.Change change, long index, Applied result) {
     logger.atInfo().log(
-        "change request=%s result=%s index=%d", describe(change.request()), result, index);
-    change.answer().accept(reply);
+        "change request=%s result=%s index=%d requests=%d",
+        describe(change.request()), result, index, change.requestCount());
+    change.answer(replyTo(change.request(), result));
   }
 
   private void submit(Request.SubmitJob submit, Consumer<Reply> answer) {
@@ -145,7 +141,7 @@
   }
 
   private void change(Request request, JobCommand command, Consumer<Reply> answer) {
-    changeByIndex.put(proposer.applyAsLong(command), new Change(request, answer));
+    pendingChanges.add(request, command, answer);
   }
 
   private void read(Request request, Consumer<Reply> answer) {
--- /dev/null
+++ b/daemon/src/test/java/org/plantainknot/daemon/controller/RequestProcessorTest.java
@@ -0,0 +1,176 @@
+package org.plantainknot.daemon.controller;
+
+import static org.testng.Assert.assertEquals;
+
+import java.util.ArrayList;
+import java.util.List;
+import org.plantainknot.core.call.JobDraft;
+import org.plantainknot.core.call.Reply;
+import org.plantainknot.core.call.Request;
+import org.plantainknot.core.job.AdviceTerms;
+import org.plantainknot.core.job.Applied;
+import org.plantainknot.core.job.FleetConfig;
+import org.plantainknot.core.job.JobCommand;
+import org.plantainknot.core.job.JobLedger;
+import org.plantainknot.core.job.MaintenanceWave;
+import org.plantainknot.core.job.QueueConfig;
+import org.plantainknot.core.job.Schedule;
+import org.plantainknot.core.job.ServiceConfig;
+import org.plantainknot.core.job.StepSpec;
+import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.Test;
+
+/** Tests which requests are proposed to the log, and that each is answered exactly once. */
+public class RequestProcessorTest {
+
+  private static final long NOT_LEADER = -1;
+
+  private final List<JobCommand> proposed = new ArrayList<>();
+  private final List<Reply> replies = new ArrayList<>();
+  private JobLedger ledger;
+  private RequestProcessor processor;
+  private boolean leads;
+  private int applied;
+
+  @BeforeMethod
+  void createProcessor() {
+    proposed.clear();
+    replies.clear();
+    leads = true;
+    applied = 0;
+    ledger = new JobLedger();
+    ledger.apply(1, new JobCommand.PutConfig(config(1)));
+    processor = new RequestProcessor(ledger, this::propose);
+  }
+
+  @Test
+  void aSubmissionThatArrivesAgainWhilePendingIsProposedOnce() {
+    process(submit("ab", "p"));
+    process(submit("ab", "p"));
+    assertEquals(proposed.size(), 1);
+    assertEquals(replies.size(), 0);
+    applyAll();
+    assertEquals(replies, List.of(new Reply.Done(), new Reply.Done()));
+  }
+
+  @Test
+  void aConfigurationThatArrivesAgainWhilePendingIsProposedOnce() {
+    process(new Request.PutConfig(config(7)));
+    process(new Request.PutConfig(config(7)));
+    process(new Request.PutConfig(config(7)));
+    assertEquals(proposed.size(), 1);
+    applyAll();
+    assertEquals(replies.size(), 3);
+  }
+
+  @Test
+  void aCancellationOfAnUnknownJobThatArrivesAgainWhilePendingGetsTheSameReply() {
+    process(new Request.CancelJob("h", "/q/ab"));
+    process(new Request.CancelJob("h", "/q/ab"));
+    assertEquals(proposed.size(), 1);
+    applyAll();
+    assertEquals(replies, List.of(new Reply.NoSuchJob(), new Reply.NoSuchJob()));
+  }
+
+  @Test
+  void aWaveThatArrivesAgainWhilePendingIsProposedOnce() {
+    process(new Request.StartWave(wave("m1")));
+    process(new Request.StartWave(wave("m1")));
+    assertEquals(proposed.size(), 1);
+    applyAll();
+    assertEquals(replies, List.of(new Reply.Done(), new Reply.Done()));
+  }
+
+  @Test
+  void aWaveWithTheNumberOfAnotherPendingOneIsNotAnsweredLikeIt() {
+    process(new Request.StartWave(wave("m1")));
+    process(new Request.StartWave(wave("m2")));
+    assertEquals(proposed.size(), 2);
+    applyAll();
+    assertEquals(
+        replies, List.of(new Reply.Done(), new Reply.Invalid("another wave has this number")));
+  }
+
+  @Test
+  void changesOfTheSameJobWithOtherContentAreProposedEach() {
+    process(submit("ab", "p"));
+    process(submit("ab", "other"));
+    process(submit("ab", "p"));
+    assertEquals(proposed.size(), 2);
+    applyAll();
+    assertEquals(replies.size(), 3);
+  }
+
+  @Test
+  void aRequestRefusedByTheLogDoesNotHoldBackLaterCopies() {
+    leads = false;
+    process(submit("ab", "p"));
+    process(submit("cd", "p"));
+    leads = true;
+    process(submit("ab", "p"));
+    assertEquals(proposed.size(), 1);
+    applyAll();
+    processor.applied(NOT_LEADER, Applied.CHANGED);
+    assertEquals(replies, List.of(new Reply.Done()));
+  }
+
+  @Test
+  void aRequestAfterLostLeadershipIsProposedAgainAndEarlierOnesAreNotAnswered() {
+    process(submit("ab", "p"));
+    processor.clear();
+    process(submit("ab", "p"));
+    assertEquals(proposed.size(), 2);
+    applyAll();
+    assertEquals(replies.size(), 1);
+  }
+
+  @Test
+  void aRequestThatArrivesAfterTheAnswerIsAnsweredOnItsOwn() {
+    process(submit("ab", "p"));
+    applyAll();
+    process(submit("ab", "p"));
+    confirmRound();
+    applyAll();
+    assertEquals(replies, List.of(new Reply.Done(), new Reply.Done()));
+  }
+
+  private long propose(JobCommand command) {
+    if (!leads) {
+      return NOT_LEADER;
+    }
+    proposed.add(command);
+    return proposed.size();
+  }
+
+  private void process(Request request) {
+    processor.process(request, replies::add);
+  }
+
+  private void applyAll() {
+    while (applied < proposed.size()) {
+      JobCommand command = proposed.get(applied++);
+      processor.applied(applied, ledger.apply(applied, command));
+    }
+  }
+
+  private void confirmRound() {
+    processor.onRoundStarted(1);
+    processor.onRoundConfirmed(1);
+  }
+
+  private static Request submit(String id, String payload) {
+    JobDraft draft = new JobDraft(payload, List.of(StepSpec.builder().build()), Schedule.NOW);
+    return new Request.SubmitJob("h", "/q/" + id, draft);
+  }
+
+  private static MaintenanceWave wave(String machine) {
+    return new MaintenanceWave(5, List.of(machine), 1_000, 1);
+  }
+
+  private static FleetConfig config(long version) {
+    QueueConfig queue =
+        new QueueConfig("q", "h", "/q/", "s", 0, 3, 1.0, 0, 1_000, AdviceTerms.NONE);
+    return new FleetConfig(
+        version, List.of(queue), List.of(new ServiceConfig("s", false)), "version " + version);
+  }
+}
