Answer changes without effect by a confirmed round, not by a log entry

Cause: a copy that arrived after its change had been applied, a configuration older than the one in force, a cancellation of an ended job and a wave sent again each took a log entry with the whole content, which went to all members and changed nothing.

Evidence: RequestProcessorTest. Before, two configurations not newer than the one in force were proposed twice ("expected [0] but found [2]"); so were the wave, the submission of a known job and the cancellation of an ended one.

The reply is computed when the round is confirmed, from the state of that time. A job that was removed in between is proposed as before.

Ruled out: answering the cancellation of an unknown job without an entry, since its submission may be pending; the log keeps them in order.

--- a/daemon/src/main/java/org/plantainknot/daemon/controller/RequestProcessor.java
+++ b/daemon/src/main/java/org/plantainknot/daemon/controller/RequestProcessor.java
@@ -24,18 +24,20 @@
  *
  * <p>A change is answered once it is committed and applied. A read is answered once a majority has
  * answered a heartbeat round that started after the request arrived; this guarantees that no newer
- * leader had changed the state when the request arrived. Used by the control thread only.
+ * leader had changed the state when the request arrived. A change without effect on the applied
+ * state is answered like a read. Used by the control thread only.
  */
 final class RequestProcessor {
 
   private static final FluentLogger logger = FluentLogger.forEnclosingClass();
   private static final long RETRY_AFTER_MILLIS = 1_000;
 
-  private record Read(long round, Request request, Consumer<Reply> answer) {}
+  /** Request that waits for a round; the task is run once the round is confirmed. */
+  private record Read(long round, Runnable task) {}
 
   private final JobLedger ledger;
   private final PendingChanges pendingChanges;
-  private final List<Read> readsAwaitingRound = new ArrayList<>();
+  private final List<Runnable> readsAwaitingRound = new ArrayList<>();
   private final Deque<Read> pendingReads = new ArrayDeque<>();
 
   /**
@@ -78,16 +80,14 @@
 
   /** Assigns the waiting reads to a heartbeat round that has started. */
   void onRoundStarted(long round) {
-    readsAwaitingRound.forEach(
-        read -> pendingReads.add(new Read(round, read.request(), read.answer())));
+    readsAwaitingRound.forEach(task -> pendingReads.add(new Read(round, task)));
     readsAwaitingRound.clear();
   }
 
   /** Answers the reads of a confirmed round and of all earlier ones. */
   void onRoundConfirmed(long round) {
     while (!pendingReads.isEmpty() && pendingReads.peek().round() <= round) {
-      Read read = pendingReads.remove();
-      read.answer().accept(replyToRead(read.request()));
+      pendingReads.remove().task().run();
     }
   }
 
@@ -141,11 +141,29 @@
   }
 
   private void change(Request request, JobCommand command, Consumer<Reply> answer) {
-    pendingChanges.add(request, command, answer);
+    if (SettledChanges.resultOf(command, ledger).isPresent()) {
+      readsAwaitingRound.add(() -> answerIfSettled(request, command, answer));
+    } else {
+      pendingChanges.add(request, command, answer);
+    }
+  }
+
+  /**
+   * Answers a change that still has no effect on the applied state, and proposes it otherwise: the
+   * job may have been removed since the request arrived.
+   */
+  private void answerIfSettled(Request request, JobCommand command, Consumer<Reply> answer) {
+    Optional<Applied> result = SettledChanges.resultOf(command, ledger);
+    if (result.isEmpty()) {
+      pendingChanges.add(request, command, answer);
+      return;
+    }
+    logger.atInfo().log("change-settled request=%s result=%s", describe(request), result.get());
+    answer.accept(replyTo(request, result.get()));
   }
 
   private void read(Request request, Consumer<Reply> answer) {
-    readsAwaitingRound.add(new Read(0, request, answer));
+    readsAwaitingRound.add(() -> answer.accept(replyToRead(request)));
   }
 
   private static Reply replyTo(Request request, Applied result) {
--- a/daemon/src/test/java/org/plantainknot/daemon/controller/RequestProcessorTest.java
+++ b/daemon/src/test/java/org/plantainknot/daemon/controller/RequestProcessorTest.java
@@ -134,6 +134,87 @@
     assertEquals(replies, List.of(new Reply.Done(), new Reply.Done()));
   }
 
+  @Test
+  void aSubmissionOfAKnownJobIsAnsweredByAConfirmedRoundWithoutALogEntry() {
+    process(submit("ab", "p"));
+    applyAll();
+    replies.clear();
+    process(submit("ab", "p"));
+    assertEquals(proposed.size(), 1);
+    assertEquals(replies.size(), 0, "the round is not confirmed yet");
+    confirmRound();
+    assertEquals(replies, List.of(new Reply.Done()));
+  }
+
+  @Test
+  void aConfigurationThatIsNotNewerIsAnsweredByAConfirmedRoundWithoutALogEntry() {
+    ledger.apply(1, new JobCommand.PutConfig(config(9)));
+    process(new Request.PutConfig(config(9)));
+    process(new Request.PutConfig(config(8)));
+    confirmRound();
+    assertEquals(proposed.size(), 0);
+    assertEquals(replies, List.of(new Reply.Done(), new Reply.Done()));
+  }
+
+  @Test
+  void aCancellationOfAnEndedJobIsAnsweredByAConfirmedRoundWithoutALogEntry() {
+    process(submit("ab", "p"));
+    process(new Request.CancelJob("h", "/q/ab"));
+    applyAll();
+    replies.clear();
+    process(new Request.CancelJob("h", "/q/ab"));
+    confirmRound();
+    assertEquals(proposed.size(), 2);
+    assertEquals(replies, List.of(new Reply.Done()));
+  }
+
+  @Test
+  void aWaveWithTheNumberOfAnotherIsRefusedByAConfirmedRoundWithoutALogEntry() {
+    ledger.apply(1, new JobCommand.StartWave(wave("m1")));
+    process(new Request.StartWave(wave("m1")));
+    process(new Request.StartWave(wave("m2")));
+    confirmRound();
+    assertEquals(proposed.size(), 0);
+    assertEquals(
+        replies, List.of(new Reply.Done(), new Reply.Invalid("another wave has this number")));
+  }
+
+  @Test
+  void aCancellationWaitsForThePendingSubmissionOfItsJob() {
+    process(submit("ab", "p"));
+    process(new Request.CancelJob("h", "/q/ab"));
+    confirmRound();
+    assertEquals(replies.size(), 0);
+    applyAll();
+    assertEquals(replies, List.of(new Reply.Done(), new Reply.Done()));
+  }
+
+  @Test
+  void aSubmissionOfAJobThatIsRemovedBeforeTheRoundIsConfirmedIsProposed() {
+    process(submit("ab", "p"));
+    applyAll();
+    process(new Request.CancelJob("h", "/q/ab"));
+    applyAll();
+    replies.clear();
+    process(submit("ab", "p"));
+    process(submit("cd", "p"));
+    ledger.apply(2 * JobLedger.KEEP_ENDED_MILLIS, proposed.get(applied++));
+    confirmRound();
+    assertEquals(replies.size(), 0);
+    assertEquals(proposed.get(applied), proposed.get(0));
+    applyAll();
+    assertEquals(replies, List.of(new Reply.Done()));
+  }
+
+  @Test
+  void aSettledChangeIsNotAnsweredOnceLeadershipIsLost() {
+    process(new Request.PutConfig(config(1)));
+    processor.onRoundStarted(1);
+    processor.clear();
+    processor.onRoundConfirmed(1);
+    assertEquals(replies.size(), 0);
+  }
+
   private long propose(JobCommand command) {
     if (!leads) {
       return NOT_LEADER;
