--- a/daemon/src/main/java/org/plantainknot/daemon/controller/RequestProcessor.java
+++ b/daemon/src/main/java/org/plantainknot/daemon/controller/RequestProcessor.java
@@ -4,9 +4,7 @@
 import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.Deque;
-import java.util.HashMap;
 import java.util.List;
-import java.util.Map;
 import java.util.Optional;
 import java.util.function.Consumer;
 import java.util.function.ToLongFunction;
@@ -26,36 +24,36 @@
  *
  * <p>A change is answered once it is committed and applied. A read is answered once a majority has
  * answered a heartbeat round that started after the request arrived; this guarantees that no newer
- * leader had changed the state when the request arrived. Used by the control thread only.
+ * leader had changed the state when the request arrived. A change without effect on the applied
+ * state is answered like a read. Used by the control thread only.
  */
 final class RequestProcessor {
 
   private static final FluentLogger logger = FluentLogger.forEnclosingClass();
   private static final long RETRY_AFTER_MILLIS = 1_000;
 
-  private record Read(long round, Request request, Consumer<Reply> answer) {}
-
-  private record Change(Request request, Consumer<Reply> answer) {}
+  /** Request that waits for a round; the task is run once the round is confirmed. */
+  private record Read(long round, Runnable task) {}
 
   private final JobLedger ledger;
-  private final ToLongFunction<JobCommand> proposer;
-  private final Map<Long, Change> changeByIndex = new HashMap<>();
-  private final List<Read> readsAwaitingRound = new ArrayList<>();
+  private final PendingChanges pendingChanges;
+  private final List<Runnable> readsAwaitingRound = new ArrayList<>();
   private final Deque<Read> pendingReads = new ArrayDeque<>();
 
   /**
    * Creates a processor without pending requests.
    *
-   * @param proposer proposes a command to the log and returns its index
+   * @param proposer proposes a command to the log and returns its index, or a negative number if
+   *     this member doesn't lead
    */
   RequestProcessor(JobLedger ledger, ToLongFunction<JobCommand> proposer) {
     this.ledger = ledger;
-    this.proposer = proposer;
+    this.pendingChanges = new PendingChanges(proposer);
   }
 
   /** Drops all requests because this member is no longer the leader; their senders retry them. */
   void clear() {
-    changeByIndex.clear();
+    pendingChanges.clear();
     readsAwaitingRound.clear();
     pendingReads.clear();
   }
@@ -82,29 +80,27 @@
 
   /** Assigns the waiting reads to a heartbeat round that has started. */
   void onRoundStarted(long round) {
-    readsAwaitingRound.forEach(
-        read -> pendingReads.add(new Read(round, read.request(), read.answer())));
+    readsAwaitingRound.forEach(task -> pendingReads.add(new Read(round, task)));
     readsAwaitingRound.clear();
   }
 
   /** Answers the reads of a confirmed round and of all earlier ones. */
   void onRoundConfirmed(long round) {
     while (!pendingReads.isEmpty() && pendingReads.peek().round() <= round) {
-      Read read = pendingReads.remove();
-      read.answer().accept(replyToRead(read.request()));
+      pendingReads.remove().task().run();
     }
   }
 
-  /** Answers the change proposed at a log index, if there is one. */
+  /** Answers all requests for the change proposed at a log index, if there is one. */
   void applied(long index, Applied result) {
-    Change change = changeByIndex.remove(index);
-    if (change == null) {
-      return;
-    }
-    Reply reply = replyTo(change.request(), result);
+    pendingChanges.remove(index).ifPresent(change -> answer(change, index, result));
+  }
+
+  private static void answer(PendingChanges.Change change, long index, Applied result) {
     logger.atInfo().log(
-        "change request=%s result=%s index=%d", describe(change.request()), result, index);
-    change.answer().accept(reply);
+        "change request=%s result=%s index=%d requests=%d",
+        describe(change.request()), result, index, change.requestCount());
+    change.answer(replyTo(change.request(), result));
   }
 
   private void submit(Request.SubmitJob submit, Consumer<Reply> answer) {
@@ -145,11 +141,29 @@
   }
 
   private void change(Request request, JobCommand command, Consumer<Reply> answer) {
-    changeByIndex.put(proposer.applyAsLong(command), new Change(request, answer));
+    if (SettledChanges.resultOf(command, ledger).isPresent()) {
+      readsAwaitingRound.add(() -> answerIfSettled(request, command, answer));
+    } else {
+      pendingChanges.add(request, command, answer);
+    }
+  }
+
+  /**
+   * Answers a change that still has no effect on the applied state, and proposes it otherwise: the
+   * job may have been removed since the request arrived.
+   */
+  private void answerIfSettled(Request request, JobCommand command, Consumer<Reply> answer) {
+    Optional<Applied> result = SettledChanges.resultOf(command, ledger);
+    if (result.isEmpty()) {
+      pendingChanges.add(request, command, answer);
+      return;
+    }
+    logger.atInfo().log("change-settled request=%s result=%s", describe(request), result.get());
+    answer.accept(replyTo(request, result.get()));
   }
 
   private void read(Request request, Consumer<Reply> answer) {
-    readsAwaitingRound.add(new Read(0, request, answer));
+    readsAwaitingRound.add(() -> answer.accept(replyToRead(request)));
   }
 
   private static Reply replyTo(Request request, Applied result) {
