Start nothing on a worker that began to drain before the commit

With commits that take seconds a start reached a worker that had announced its end long before, and the work was lost with it.

A start that is due on a worker that is leaving is given up, or stopped if an earlier copy of it is open. Runs that have started may still finish there.

DispatcherTest.assignmentThatIsCommittedAfterItsWorkerBeganToDrainIsNotStarted and startIsNotRepeatedOnceItsWorkerBeganToDrain failed before (both starts were sent).

--- a/core/src/main/java/org/plantainknot/core/schedule/Dispatcher.java
+++ b/core/src/main/java/org/plantainknot/core/schedule/Dispatcher.java
@@ -46,6 +46,7 @@
   private final WorkerSessions sessions;
   private final Advisor advisor;
   private final ActionQueue actionQueue;
+  private final EndProposer endProposer;
   private final RunTable runs = new RunTable();
   private final DurationEstimator durationEstimator = new DurationEstimator();
 
@@ -62,6 +63,7 @@
     this.sessions = new WorkerSessions(directory, timing, nowMillis);
     this.advisor = new Advisor(ledger);
     this.actionQueue = new ActionQueue(ledger, sessions, timing, advisor, term);
+    this.endProposer = new EndProposer(ledger, actionQueue);
     for (Task task : ledger.assignedTasks()) {
       runs.add(new TrackedRun(task, task.worker(), Phase.ADOPTED, nowMillis));
     }
@@ -146,7 +148,7 @@
       return;
     }
     report.running().forEach(listed -> onListedRunning(target, listed, nowMillis));
-    proposeEnds(session, report, nowMillis);
+    endProposer.proposeNew(session, report, nowMillis);
     resolveUnlistedRuns(session, sentAtMillis, nowMillis);
   }
 
@@ -243,8 +245,10 @@
     if (session.hasEnded() || !session.isRenewDue(nowMillis)) {
       return;
     }
-    boolean endsPending = session.lastProposedEnd() > ledger.lastEnd(worker.life());
-    if (endsPending && nowMillis - session.renewSentAtMillis() < COMMIT_WAIT_MILLIS) {
+    boolean waitsForCommit =
+        endProposer.isCommitPending(session)
+            && nowMillis - session.renewSentAtMillis() < COMMIT_WAIT_MILLIS;
+    if (waitsForCommit) {
       return;
     }
     actionQueue.renew(worker, session, nowMillis);
@@ -291,11 +295,7 @@
   private void advanceRuns(WorkerIncarnation incarnation, long nowMillis) {
     WorkerSession session = session(incarnation);
     boolean answering = sessions.isAnswering(session, nowMillis);
-    boolean leaving =
-        directory
-            .find(incarnation.worker())
-            .filter(worker -> worker.phase() != WorkerPhase.READY)
-            .isPresent();
+    boolean leaving = isLeaving(incarnation);
     for (TrackedRun run : runs.on(incarnation)) {
       boolean running = run.phase() == Phase.RUNNING;
       boolean stalled = running && answering && isStalled(run, nowMillis);
@@ -309,6 +309,13 @@
     }
   }
 
+  private boolean isLeaving(WorkerIncarnation incarnation) {
+    return directory
+        .find(incarnation.worker())
+        .filter(worker -> worker.phase() != WorkerPhase.READY)
+        .isPresent();
+  }
+
   private static boolean isStalled(TrackedRun run, long nowMillis) {
     return run.percent() < FULL_PERCENT
         && nowMillis - run.progressAtMillis() > STALL_TIMEOUT_MILLIS;
@@ -324,6 +331,9 @@
     if (!run.isOrderDue(nowMillis, timing.retryMillis())) {
       return;
     }
+    if (run.phase() == Phase.STARTING && isLeaving(run.incarnation())) {
+      giveUpOrFence(run, nowMillis);
+    }
     if (run.phase() == Phase.STARTING) {
       actionQueue.start(run, nowMillis);
     } else if (run.phase() == Phase.STOPPING) {
@@ -401,25 +411,6 @@
     }
   }
 
-  private void proposeEnds(WorkerSession session, WorkerReport report, long nowMillis) {
-    long lastKnown = Math.max(ledger.lastEnd(session.incarnation()), session.lastProposedEnd());
-    List<RunEnd> ends = new ArrayList<>();
-    long last = lastKnown;
-    for (ListedEnd listed : report.ended()) {
-      if (listed.number() > lastKnown) {
-        ends.add(listed.end());
-        last = Math.max(last, listed.number());
-      }
-    }
-    if (last > lastKnown) {
-      session.endsProposed(last);
-      // Restarts the period in which the next renewal waits for these ends to be committed.
-      session.renewSent(nowMillis);
-      session.renewDone(nowMillis);
-      propose(new NoteEnds(session.incarnation(), last, ends));
-    }
-  }
-
   /** Resolves runs assigned to the worker that are missing from its report. */
   private void resolveUnlistedRuns(WorkerSession session, long sentAtMillis, long nowMillis) {
     List<TrackedRun> neverStarted = new ArrayList<>();
--- a/core/src/test/java/org/plantainknot/core/schedule/DispatcherTest.java
+++ b/core/src/test/java/org/plantainknot/core/schedule/DispatcherTest.java
@@ -90,6 +90,30 @@
     assertFalse(stops(tick()));
   }
 
+  @Test
+  void assignmentThatIsCommittedAfterItsWorkerBeganToDrainIsNotStarted() {
+    start(false);
+    directory.recordHeartbeat(heartbeat(WorkerPhase.DRAINING, 2), nowMillis);
+    reportAndTick(List.of());
+    assign();
+    List<Action> actions = reportAndTick(List.of());
+    assertFalse(starts(actions));
+    assertTrue(givesUp(actions));
+  }
+
+  @Test
+  void startIsNotRepeatedOnceItsWorkerBeganToDrain() {
+    start(false);
+    assign();
+    reportAndTick(List.of());
+    answerStart(CallOutcome.NO_ANSWER);
+    directory.recordHeartbeat(heartbeat(WorkerPhase.DRAINING, 2), nowMillis);
+    nowMillis += TIMING.retryMillis();
+    List<Action> actions = reportAndTick(List.of());
+    assertFalse(starts(actions));
+    assertTrue(stops(actions), "the first copy may still be executed");
+  }
+
   @Test
   void stalledRunIsStopped() {
     start(false);
