Placement: move the choice of preempted tasks into a class of its own

Placement held five methods that only serve preemption, among those for leases, overload and placing, and the tasks that are still placed on a worker were selected by hand in four places. Preemption now chooses the tasks that make room for an urgent job; WorkerState tells its placed tasks in order of urgency and what they reserve; JobState holds that order.

Behaviour is unchanged: the same conditions, order of workers and order of tasks. Covered by PlacementTest (urgentWorkWithinItsQuotaPreemptsTheLeastUrgent, aBacklogOfUrgentWorkLeavesTheFloorToOtherWork) and PlacementFuzzTest.

--- a/core/src/main/java/org/plantainknot/core/placement/JobState.java
+++ b/core/src/main/java/org/plantainknot/core/placement/JobState.java
@@ -1,11 +1,17 @@
 package org.plantainknot.core.placement;
 
+import java.util.Comparator;
 import java.util.HashSet;
 import java.util.Set;
 
 /** Mutable state of a job. */
 final class JobState {
 
+  /** Orders jobs by kind, the most urgent first, and within a kind by submission. */
+  static final Comparator<JobState> BY_URGENCY =
+      Comparator.comparing((JobState state) -> state.job().kind())
+          .thenComparingLong(JobState::sequence);
+
   private final Job job;
   private final long sequence;
   private JobPhase phase = JobPhase.QUEUED;
--- a/core/src/main/java/org/plantainknot/core/placement/Placement.java
+++ b/core/src/main/java/org/plantainknot/core/placement/Placement.java
@@ -31,6 +31,7 @@
   private final Map<String, WorkerState> workers = new TreeMap<>();
   private final Map<String, JobState> jobs = new LinkedHashMap<>();
   private final Map<String, Resources> quotas = new HashMap<>();
+  private final Preemption preemption;
   private final SizeEstimates estimates = new SizeEstimates();
   private final Set<JobState> openJobs = new LinkedHashSet<>();
   private final Deque<String> endedJobIds = new ArrayDeque<>();
@@ -39,6 +40,7 @@
   /** Creates a placement without workers and jobs. */
   public Placement(PlacementTiming timing) {
     this.timing = timing;
+    this.preemption = new Preemption(workers.values(), timing);
   }
 
   /** Adds a worker or updates its description. */
@@ -246,18 +248,14 @@
   private void relieveOverload(List<TaskOrder> orders) {
     for (WorkerState worker : workers.values()) {
       if (!worker.reserved().fitsInto(worker.worker().capacity())) {
-        List<JobState> leastUrgentFirst =
-            worker.tasks().stream()
-                .filter(task -> task.phase() == JobPhase.PLACED)
-                .sorted(byUrgency().reversed())
-                .toList();
+        List<JobState> leastUrgentFirst = worker.placedTasksLeastUrgentFirst();
         leastUrgentFirst.stream()
             .filter(task -> !worker.reserved().fitsInto(worker.worker().capacity()))
             .forEach(task -> throttle(task, worker, orders));
         leastUrgentFirst.stream()
             .limit(Math.max(0, leastUrgentFirst.size() - 1))
-            .filter(task -> !reservedByPlaced(worker).fitsInto(worker.worker().capacity()))
-            .forEach(task -> checkpoint(task, worker, orders));
+            .filter(task -> !worker.reservedByPlacedTasks().fitsInto(worker.worker().capacity()))
+            .forEach(task -> checkpoint(task, orders));
       }
     }
   }
@@ -273,16 +271,9 @@
     }
   }
 
-  private void checkpoint(JobState task, WorkerState worker, List<TaskOrder> orders) {
+  private static void checkpoint(JobState task, List<TaskOrder> orders) {
     task.setPhase(JobPhase.CHECKPOINTING);
-    orders.add(new TaskOrder.Checkpoint(task.taskId(), worker.worker().name()));
-  }
-
-  private static Resources reservedByPlaced(WorkerState worker) {
-    return worker.tasks().stream()
-        .filter(task -> task.phase() == JobPhase.PLACED)
-        .map(JobState::reserved)
-        .reduce(Resources.NONE, Resources::plus);
+    orders.add(new TaskOrder.Checkpoint(task.taskId(), task.worker().worker().name()));
   }
 
   private void placeQueuedJobs(List<TaskOrder> orders, long nowMillis) {
@@ -292,7 +283,7 @@
             .filter(state -> state.phase() == JobPhase.QUEUED)
             .sorted(
                 Comparator.comparing((JobState s) -> !isInQuota(s, usedByTeam))
-                    .thenComparing(byUrgency()))
+                    .thenComparing(JobState.BY_URGENCY))
             .toList();
     for (JobState state : queued) {
       state.setEstimate(estimatedSize(state.job()));
@@ -301,7 +292,7 @@
         state.place(worker, 0);
         orders.add(renewLease(state, worker));
       } else if (state.job().kind() == WorkKind.URGENT && isInQuota(state, usedByTeam)) {
-        preemptFor(state, orders, nowMillis);
+        preemption.victimsFor(state, nowMillis).forEach(victim -> checkpoint(victim, orders));
       }
     }
   }
@@ -323,61 +314,6 @@
         .orElse(null);
   }
 
-  /** Preempts the least urgent tasks on the worker that needs the fewest preemptions. */
-  private void preemptFor(JobState state, List<TaskOrder> orders, long nowMillis) {
-    if (nonUrgentFraction() <= timing.nonUrgentFloor() || isPreemptionPending(state, nowMillis)) {
-      return;
-    }
-    Resources size = state.reserved();
-    workers.values().stream()
-        .filter(worker -> worker.acceptsWork(nowMillis, timing))
-        .filter(worker -> size.fitsInto(worker.worker().capacity()))
-        .map(worker -> victimsFor(size, worker))
-        .filter(victims -> !victims.isEmpty())
-        .min(Comparator.comparingInt(List::size))
-        .ifPresent(victims -> victims.forEach(v -> checkpoint(v, v.worker(), orders)));
-  }
-
-  private static List<JobState> victimsFor(Resources size, WorkerState worker) {
-    List<JobState> victims = new ArrayList<>();
-    Resources free = worker.free();
-    List<JobState> leastUrgentFirst =
-        worker.tasks().stream()
-            .filter(task -> task.phase() == JobPhase.PLACED)
-            .filter(task -> task.job().kind() != WorkKind.URGENT)
-            .sorted(byUrgency().reversed())
-            .toList();
-    for (JobState task : leastUrgentFirst) {
-      if (size.fitsInto(free)) {
-        break;
-      }
-      victims.add(task);
-      free = free.plus(task.reserved());
-    }
-    return size.fitsInto(free) ? victims : List.of();
-  }
-
-  private boolean isPreemptionPending(JobState state, long nowMillis) {
-    Resources size = state.reserved();
-    return workers.values().stream()
-        .filter(worker -> worker.acceptsWork(nowMillis, timing))
-        .filter(w -> w.tasks().stream().anyMatch(t -> t.phase() == JobPhase.CHECKPOINTING))
-        .anyMatch(w -> size.fitsInto(w.worker().capacity().minus(reservedByPlaced(w))));
-  }
-
-  /** Returns the fraction of all processors that non-urgent work has reserved. */
-  private double nonUrgentFraction() {
-    long all = workers.values().stream().mapToLong(w -> w.worker().capacity().milliCores()).sum();
-    long nonUrgent =
-        workers.values().stream()
-            .flatMap(worker -> worker.tasks().stream())
-            .filter(task -> task.job().kind() != WorkKind.URGENT)
-            .filter(task -> task.phase() == JobPhase.PLACED)
-            .mapToLong(task -> task.reserved().milliCores())
-            .sum();
-    return all == 0 ? 0 : (double) nonUrgent / all;
-  }
-
   private Map<String, Resources> usedByTeam() {
     Map<String, Resources> used = new HashMap<>();
     workers.values().stream()
@@ -407,11 +343,6 @@
     return state != null && state.taskId().equals(taskId) ? state : null;
   }
 
-  private static Comparator<JobState> byUrgency() {
-    return Comparator.comparing((JobState state) -> state.job().kind())
-        .thenComparingLong(JobState::sequence);
-  }
-
   private static JobView view(JobState state) {
     String worker = state.worker() == null ? null : state.worker().worker().name();
     return new JobView(state.job(), state.phase(), worker, state.taskId(), state.reason());
--- a/core/src/main/java/org/plantainknot/core/placement/WorkerState.java
+++ b/core/src/main/java/org/plantainknot/core/placement/WorkerState.java
@@ -2,7 +2,9 @@
 
 import java.util.HashSet;
 import java.util.LinkedHashSet;
+import java.util.List;
 import java.util.Set;
+import java.util.stream.Stream;
 
 /** Mutable state of a worker. */
 final class WorkerState {
@@ -57,6 +59,20 @@
     return tasks;
   }
 
+  /** Returns the tasks that are neither being checkpointed nor stopped, the least urgent first. */
+  List<JobState> placedTasksLeastUrgentFirst() {
+    return placedTasks().sorted(JobState.BY_URGENCY.reversed()).toList();
+  }
+
+  /** Returns what stays reserved once the tasks being checkpointed or stopped have ended. */
+  Resources reservedByPlacedTasks() {
+    return placedTasks().map(JobState::reserved).reduce(Resources.NONE, Resources::plus);
+  }
+
+  private Stream<JobState> placedTasks() {
+    return tasks.stream().filter(task -> task.phase() == JobPhase.PLACED);
+  }
+
   boolean acceptsWork(long nowMillis, PlacementTiming timing) {
     return isReachable(nowMillis, timing) && !draining && !isQuarantined(nowMillis);
   }
