Placement: keep the jobs and their history in a registry

Placement kept a map of all jobs, a set of the open ones, a queue of ended ids and a sequence counter, four fields that have to change together but were written in different methods. JobRegistry now owns them with the bound on the history, so that Placement is left with what it decides about jobs.

Behaviour is unchanged, including the order of submission and the 10,000 ended jobs that are kept. Covered by PlacementTest and PlacementFuzzTest; the bound itself has no test, its code was moved as it stood.

--- a/core/src/main/java/org/plantainknot/core/placement/Placement.java
+++ b/core/src/main/java/org/plantainknot/core/placement/Placement.java
@@ -1,17 +1,12 @@
 package org.plantainknot.core.placement;
 
-import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.Collection;
 import java.util.Comparator;
-import java.util.Deque;
 import java.util.HashMap;
-import java.util.LinkedHashMap;
-import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
-import java.util.Set;
 import java.util.TreeMap;
 import org.plantainknot.core.admission.WorkKind;
 
@@ -25,17 +20,12 @@
  */
 public final class Placement {
 
-  private static final int MAX_ENDED = 10_000;
-
   private final PlacementTiming timing;
   private final Map<String, WorkerState> workers = new TreeMap<>();
-  private final Map<String, JobState> jobs = new LinkedHashMap<>();
+  private final JobRegistry jobs = new JobRegistry();
   private final Map<String, Resources> quotas = new HashMap<>();
   private final Preemption preemption;
   private final SizeEstimates estimates = new SizeEstimates();
-  private final Set<JobState> openJobs = new LinkedHashSet<>();
-  private final Deque<String> endedJobIds = new ArrayDeque<>();
-  private long nextSequence;
 
   /** Creates a placement without workers and jobs. */
   public Placement(PlacementTiming timing) {
@@ -80,16 +70,14 @@
    * returns the present view of the job.
    */
   public JobView submit(Job job) {
-    JobState state = jobs.get(job.id());
+    JobState state = jobs.find(job.id());
     if (state == null) {
-      state = new JobState(job, nextSequence++);
-      jobs.put(job.id(), state);
-      openJobs.add(state);
+      state = jobs.add(job);
       Resources largest = largestCapacityFor(job.declared());
       if (!job.declared().fitsInto(largest)) {
         state.releaseWorker(
             JobPhase.REFUSED, "needs " + job.declared() + "; the largest worker has " + largest);
-        retainIfEnded(state);
+        jobs.retainIfEnded(state);
       }
     }
     return view(state);
@@ -97,14 +85,14 @@
 
   /** Cancels a job: a queued one never starts, a running one is stopped. */
   public void cancel(String jobId) {
-    JobState state = jobs.get(jobId);
+    JobState state = jobs.find(jobId);
     if (state == null || state.phase().isEnded()) {
       return;
     }
     state.cancel();
     if (state.phase() == JobPhase.QUEUED) {
       state.releaseWorker(JobPhase.CANCELLED, "cancelled");
-      retainIfEnded(state);
+      jobs.retainIfEnded(state);
     } else {
       state.setPhase(JobPhase.STOPPING);
     }
@@ -112,7 +100,7 @@
 
   /** Records the reported resource usage of a task, which may be out of date. */
   public void recordUsage(String taskId, Resources used) {
-    JobState state = findByTask(taskId);
+    JobState state = jobs.findByTask(taskId);
     if (state != null && state.phase().isOccupying()) {
       state.setUsed(used);
       estimates.observe(state.job(), used);
@@ -121,7 +109,7 @@
 
   /** Handles a worker's report on a task; reports on earlier attempts are ignored. */
   public void report(String taskId, TaskReport report, long nowMillis) {
-    JobState state = findByTask(taskId);
+    JobState state = jobs.findByTask(taskId);
     if (state == null || !state.phase().isOccupying()) {
       return;
     }
@@ -133,7 +121,7 @@
       case FAILED -> handleFailure(state, nowMillis);
       default -> requeueOrCancel(state);
     }
-    retainIfEnded(state);
+    jobs.retainIfEnded(state);
   }
 
   /** Updates leases and placements, and returns the orders to send to the workers. */
@@ -149,19 +137,19 @@
 
   /** Returns the number of jobs that wait for a worker. */
   public long waiting() {
-    return openJobs.stream().filter(state -> state.phase() == JobPhase.QUEUED).count();
+    return jobs.queued().count();
   }
 
   /** Returns a job, if it is known. */
   public Optional<JobView> job(String jobId) {
-    return Optional.ofNullable(jobs.get(jobId)).map(Placement::view);
+    return Optional.ofNullable(jobs.find(jobId)).map(Placement::view);
   }
 
   /**
    * Returns the jobs that have not ended and the most recently ended ones, in order of submission.
    */
   public Collection<JobView> jobs() {
-    return jobs.values().stream().map(Placement::view).toList();
+    return jobs.stream().map(Placement::view).toList();
   }
 
   private void handleFailure(JobState state, long nowMillis) {
@@ -181,17 +169,7 @@
     boolean cancelled = state.isCancelled();
     state.releaseWorker(
         cancelled ? JobPhase.CANCELLED : JobPhase.QUEUED, cancelled ? "cancelled" : "");
-    retainIfEnded(state);
-  }
-
-  /** Moves an ended job to the bounded history that serves queries and repeated submissions. */
-  private void retainIfEnded(JobState state) {
-    if (state.phase().isEnded() && openJobs.remove(state)) {
-      endedJobIds.add(state.job().id());
-      if (endedJobIds.size() > MAX_ENDED) {
-        jobs.remove(endedJobIds.remove());
-      }
-    }
+    jobs.retainIfEnded(state);
   }
 
   private void expireLeases(long nowMillis) {
@@ -279,8 +257,7 @@
   private void placeQueuedJobs(List<TaskOrder> orders, long nowMillis) {
     Map<String, Resources> usedByTeam = usedByTeam();
     List<JobState> queued =
-        openJobs.stream()
-            .filter(state -> state.phase() == JobPhase.QUEUED)
+        jobs.queued()
             .sorted(
                 Comparator.comparing((JobState s) -> !isInQuota(s, usedByTeam))
                     .thenComparing(JobState.BY_URGENCY))
@@ -337,12 +314,6 @@
         .orElse(Resources.NONE);
   }
 
-  /** Returns the job whose latest attempt has the task identifier, or null. */
-  private JobState findByTask(String taskId) {
-    JobState state = jobs.get(taskId.substring(0, Math.max(0, taskId.lastIndexOf('#'))));
-    return state != null && state.taskId().equals(taskId) ? state : null;
-  }
-
   private static JobView view(JobState state) {
     String worker = state.worker() == null ? null : state.worker().worker().name();
     return new JobView(state.job(), state.phase(), worker, state.taskId(), state.reason());
