ControlNode: separate how commands reach the leader from the event loop

ControlNode mixed three things: the control thread's events, the way of a command to the leader, and applying committed commands. The way of a command was spread over flush, propose, onPropose and a flag that two methods combined with the role; the state machine was an anonymous class that called back into the node. CommandForwarder now proposes or forwards commands and rejects those of other members, and ControlStateMachine applies what is committed. ControlNode keeps the order of the steps.

Behaviour is unchanged: same frames, same order of flush, round and drain, same log lines (the fine-level line on applied commands now carries the name of ControlStateMachine). Covered by ClusterFailureTest (aFrozenLeaderIsReplacedAndNoRequestRunsTwice, aRollingRestartOfAllDaemonsLosesNoRequest, which transfers leadership, aDiskLostRightAfterAVoterWasReplacedLosesNoState) and SilentLinkTest.

--- a/daemon/src/main/java/org/plantainknot/daemon/control/ControlNode.java
+++ b/daemon/src/main/java/org/plantainknot/daemon/control/ControlNode.java
@@ -1,7 +1,6 @@
 package org.plantainknot.daemon.control;
 
 import com.google.common.flogger.FluentLogger;
-import com.google.protobuf.InvalidProtocolBufferException;
 import io.smallrye.mutiny.Uni;
 import java.util.List;
 import java.util.UUID;
@@ -12,13 +11,11 @@
 import org.plantainknot.core.control.ControlState;
 import org.plantainknot.core.control.Result;
 import org.plantainknot.core.lease.GatewayLease;
-import org.plantainknot.core.replica.Entry;
 import org.plantainknot.core.replica.Envelope;
 import org.plantainknot.core.replica.MemberId;
 import org.plantainknot.core.replica.Membership;
 import org.plantainknot.core.replica.Message;
 import org.plantainknot.core.replica.Replica;
-import org.plantainknot.core.replica.ReplicaStatus;
 import org.plantainknot.core.replica.ReplicaTiming;
 import org.plantainknot.core.replica.Snapshot;
 import org.plantainknot.daemon.member.FrameCodec;
@@ -29,11 +26,8 @@
 import org.plantainknot.daemon.storage.ReplicaStorage;
 import org.plantainknot.daemon.storage.StorageCodec;
 import org.plantainknot.daemon.tls.TlsKeys;
-import org.plantainknot.wire.member.CommandProto;
 import org.plantainknot.wire.member.FormProto;
 import org.plantainknot.wire.member.FrameProto;
-import org.plantainknot.wire.member.NotLeaderProto;
-import org.plantainknot.wire.member.ProposeProto;
 
 /**
  * Runs the replicated log and state in this process.
@@ -59,13 +53,13 @@
   private final Leader leader;
   private final LeaseClient leaseClient;
   private final CommandQueue commands = new CommandQueue();
+  private final CommandForwarder forwarder;
   private final VoterChange voterChange;
   private final ControlThread control = new ControlThread();
   private final ReplicaDriver driver;
   private StateListener listener;
   private long publishedFleetVersion;
   private boolean flushPosted;
-  private boolean transferringLeadership;
   private volatile boolean stopping;
   private volatile boolean ready;
 
@@ -98,6 +92,7 @@
       state.restore(StateCodec.decodeImage(snapshot.data()));
     }
     this.links = new MemberLinks(self, process, settings.members(), TlsKeys.of(settings), this);
+    this.forwarder = new CommandForwarder(replica, commands, links::send);
     this.writer = new StorageWriter(storage, this::onSynced, onFailure);
     this.driver = createDriver();
   }
@@ -209,7 +204,7 @@
   public Uni<Boolean> transferLeadership(long timeoutMillis) {
     LeadershipTransfer transfer = new LeadershipTransfer(replica, control, this::drain);
     return Uni.createFrom()
-        .completionStage(transfer.start(() -> transferringLeadership = true, timeoutMillis));
+        .completionStage(transfer.start(forwarder::stopAccepting, timeoutMillis));
   }
 
   @Override
@@ -236,7 +231,11 @@
   private void handle(MemberId sender, FrameProto frame) {
     long nowMillis = Clock.nowMillis();
     switch (frame.getBodyCase()) {
-      case PROPOSE -> onPropose(sender.node(), frame.getPropose().getCommandsList());
+      case PROPOSE -> {
+        if (forwarder.onPropose(sender.node(), frame.getPropose().getCommandsList())) {
+          postFlush();
+        }
+      }
       case NOT_LEADER -> frame.getNotLeader().getCommandIdsList().forEach(commands::rejected);
       case LEASE_REQUEST -> leader.onLeaseRequest(sender.node(), frame.getLeaseRequest());
       case LEASE_REPLY -> leaseClient.onReply(frame.getLeaseReply());
@@ -275,44 +274,12 @@
   private void flush() {
     flushPosted = false;
     long nowMillis = Clock.nowMillis();
-    ReplicaStatus status = replica.status();
-    if (status.leader() != null && !isTransferringLeadership()) {
-      List<CommandProto> unsent = commands.takeUnsent(status.leader().node(), nowMillis);
-      if (status.isLeader()) {
-        unsent.forEach(this::propose);
-      } else if (!unsent.isEmpty()) {
-        ProposeProto proposal = ProposeProto.newBuilder().addAllCommands(unsent).build();
-        FrameProto frame = FrameProto.newBuilder().setPropose(proposal).build();
-        if (!links.send(status.leader().node(), frame)) {
-          unsent.forEach(command -> commands.rejected(command.getCommandId()));
-        }
-      }
-    }
+    forwarder.sendUnsent(nowMillis);
     replica.flush(nowMillis);
     leader.startRound(nowMillis);
     drain();
   }
 
-  private boolean isTransferringLeadership() {
-    return transferringLeadership && replica.status().isLeader();
-  }
-
-  private void propose(CommandProto command) {
-    CommandProto stamped = command.toBuilder().setStampMillis(Clock.wallMillis()).build();
-    replica.propose(stamped.toByteArray());
-  }
-
-  private void onPropose(String sender, List<CommandProto> proposed) {
-    if (replica.status().isLeader() && !transferringLeadership) {
-      proposed.forEach(this::propose);
-      postFlush();
-      return;
-    }
-    NotLeaderProto.Builder rejection = NotLeaderProto.newBuilder();
-    proposed.forEach(command -> rejection.addCommandIds(command.getCommandId()));
-    links.send(sender, FrameProto.newBuilder().setNotLeader(rejection).build());
-  }
-
   private void drain() {
     driver.drain();
   }
@@ -329,24 +296,13 @@
         writer,
         mode,
         this::send,
-        new ReplicaDriver.StateMachine() {
-          @Override
-          public void restore(byte[] data) {
-            state.restore(StateCodec.decodeImage(data));
-          }
-
-          @Override
-          public void apply(Entry entry) {
-            applyEntry(entry);
-          }
-
-          @Override
-          public void onDrained() {
-            leader.updateRole();
-            publishStateChanges();
-            leader.answerLeaseRequests();
-          }
-        });
+        new ControlStateMachine(state, commands, this::onDrained));
+  }
+
+  private void onDrained() {
+    leader.updateRole();
+    publishStateChanges();
+    leader.answerLeaseRequests();
   }
 
   private void onSynced(long token) {
@@ -368,29 +324,6 @@
     }
   }
 
-  private void applyEntry(Entry entry) {
-    if (!entry.hasCommand()) {
-      state.skip(entry.index());
-      return;
-    }
-    CommandProto proto = parse(entry.command());
-    Command command = StateCodec.decodeCommand(proto.getBody().toByteArray());
-    Result result =
-        state.apply(entry.index(), proto.getStampMillis(), proto.getCommandId(), command);
-    commands.applied(proto.getCommandId(), result);
-    if (!(command instanceof Command.OpenClaim || command instanceof Command.CloseClaim)) {
-      logger.atFine().log("applied index=%d command=%s result=%s", entry.index(), command, result);
-    }
-  }
-
-  private static CommandProto parse(byte[] bytes) {
-    try {
-      return CommandProto.parseFrom(bytes);
-    } catch (InvalidProtocolBufferException e) {
-      throw new IllegalStateException("cannot decode a committed log entry", e);
-    }
-  }
-
   private void publishStateChanges() {
     lease().applied(state.appliedIndex());
     if (state.fleetVersion() != publishedFleetVersion) {
