--- a/core/src/main/java/org/plantainknot/core/placement/Placement.java
+++ b/core/src/main/java/org/plantainknot/core/placement/Placement.java
@@ -1,17 +1,12 @@
 package org.plantainknot.core.placement;
 
-import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.Collection;
 import java.util.Comparator;
-import java.util.Deque;
 import java.util.HashMap;
-import java.util.LinkedHashMap;
-import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
-import java.util.Set;
 import java.util.TreeMap;
 import org.plantainknot.core.admission.WorkKind;
 
@@ -25,20 +20,17 @@
  */
 public final class Placement {
 
-  private static final int MAX_ENDED = 10_000;
-
   private final PlacementTiming timing;
   private final Map<String, WorkerState> workers = new TreeMap<>();
-  private final Map<String, JobState> jobs = new LinkedHashMap<>();
+  private final JobRegistry jobs = new JobRegistry();
   private final Map<String, Resources> quotas = new HashMap<>();
+  private final Preemption preemption;
   private final SizeEstimates estimates = new SizeEstimates();
-  private final Set<JobState> openJobs = new LinkedHashSet<>();
-  private final Deque<String> endedJobIds = new ArrayDeque<>();
-  private long nextSequence;
 
   /** Creates a placement without workers and jobs. */
   public Placement(PlacementTiming timing) {
     this.timing = timing;
+    this.preemption = new Preemption(workers.values(), timing);
   }
 
   /** Adds a worker or updates its description. */
@@ -78,16 +70,14 @@
    * returns the present view of the job.
    */
   public JobView submit(Job job) {
-    JobState state = jobs.get(job.id());
+    JobState state = jobs.find(job.id());
     if (state == null) {
-      state = new JobState(job, nextSequence++);
-      jobs.put(job.id(), state);
-      openJobs.add(state);
+      state = jobs.add(job);
       Resources largest = largestCapacityFor(job.declared());
       if (!job.declared().fitsInto(largest)) {
         state.releaseWorker(
             JobPhase.REFUSED, "needs " + job.declared() + "; the largest worker has " + largest);
-        retainIfEnded(state);
+        jobs.retainIfEnded(state);
       }
     }
     return view(state);
@@ -95,14 +85,14 @@
 
   /** Cancels a job: a queued one never starts, a running one is stopped. */
   public void cancel(String jobId) {
-    JobState state = jobs.get(jobId);
+    JobState state = jobs.find(jobId);
     if (state == null || state.phase().isEnded()) {
       return;
     }
     state.cancel();
     if (state.phase() == JobPhase.QUEUED) {
       state.releaseWorker(JobPhase.CANCELLED, "cancelled");
-      retainIfEnded(state);
+      jobs.retainIfEnded(state);
     } else {
       state.setPhase(JobPhase.STOPPING);
     }
@@ -110,7 +100,7 @@
 
   /** Records the reported resource usage of a task, which may be out of date. */
   public void recordUsage(String taskId, Resources used) {
-    JobState state = findByTask(taskId);
+    JobState state = jobs.findByTask(taskId);
     if (state != null && state.phase().isOccupying()) {
       state.setUsed(used);
       estimates.observe(state.job(), used);
@@ -119,7 +109,7 @@
 
   /** Handles a worker's report on a task; reports on earlier attempts are ignored. */
   public void report(String taskId, TaskReport report, long nowMillis) {
-    JobState state = findByTask(taskId);
+    JobState state = jobs.findByTask(taskId);
     if (state == null || !state.phase().isOccupying()) {
       return;
     }
@@ -131,7 +121,7 @@
       case FAILED -> handleFailure(state, nowMillis);
       default -> requeueOrCancel(state);
     }
-    retainIfEnded(state);
+    jobs.retainIfEnded(state);
   }
 
   /** Updates leases and placements, and returns the orders to send to the workers. */
@@ -147,19 +137,19 @@
 
   /** Returns the number of jobs that wait for a worker. */
   public long waiting() {
-    return openJobs.stream().filter(state -> state.phase() == JobPhase.QUEUED).count();
+    return jobs.queued().count();
   }
 
   /** Returns a job, if it is known. */
   public Optional<JobView> job(String jobId) {
-    return Optional.ofNullable(jobs.get(jobId)).map(Placement::view);
+    return Optional.ofNullable(jobs.find(jobId)).map(Placement::view);
   }
 
   /**
    * Returns the jobs that have not ended and the most recently ended ones, in order of submission.
    */
   public Collection<JobView> jobs() {
-    return jobs.values().stream().map(Placement::view).toList();
+    return jobs.stream().map(Placement::view).toList();
   }
 
   private void handleFailure(JobState state, long nowMillis) {
@@ -179,17 +169,7 @@
     boolean cancelled = state.isCancelled();
     state.releaseWorker(
         cancelled ? JobPhase.CANCELLED : JobPhase.QUEUED, cancelled ? "cancelled" : "");
-    retainIfEnded(state);
-  }
-
-  /** Moves an ended job to the bounded history that serves queries and repeated submissions. */
-  private void retainIfEnded(JobState state) {
-    if (state.phase().isEnded() && openJobs.remove(state)) {
-      endedJobIds.add(state.job().id());
-      if (endedJobIds.size() > MAX_ENDED) {
-        jobs.remove(endedJobIds.remove());
-      }
-    }
+    jobs.retainIfEnded(state);
   }
 
   private void expireLeases(long nowMillis) {
@@ -246,18 +226,14 @@
   private void relieveOverload(List<TaskOrder> orders) {
     for (WorkerState worker : workers.values()) {
       if (!worker.reserved().fitsInto(worker.worker().capacity())) {
-        List<JobState> leastUrgentFirst =
-            worker.tasks().stream()
-                .filter(task -> task.phase() == JobPhase.PLACED)
-                .sorted(byUrgency().reversed())
-                .toList();
+        List<JobState> leastUrgentFirst = worker.placedTasksLeastUrgentFirst();
         leastUrgentFirst.stream()
             .filter(task -> !worker.reserved().fitsInto(worker.worker().capacity()))
             .forEach(task -> throttle(task, worker, orders));
         leastUrgentFirst.stream()
             .limit(Math.max(0, leastUrgentFirst.size() - 1))
-            .filter(task -> !reservedByPlaced(worker).fitsInto(worker.worker().capacity()))
-            .forEach(task -> checkpoint(task, worker, orders));
+            .filter(task -> !worker.reservedByPlacedTasks().fitsInto(worker.worker().capacity()))
+            .forEach(task -> checkpoint(task, orders));
       }
     }
   }
@@ -273,26 +249,18 @@
     }
   }
 
-  private void checkpoint(JobState task, WorkerState worker, List<TaskOrder> orders) {
+  private static void checkpoint(JobState task, List<TaskOrder> orders) {
     task.setPhase(JobPhase.CHECKPOINTING);
-    orders.add(new TaskOrder.Checkpoint(task.taskId(), worker.worker().name()));
-  }
-
-  private static Resources reservedByPlaced(WorkerState worker) {
-    return worker.tasks().stream()
-        .filter(task -> task.phase() == JobPhase.PLACED)
-        .map(JobState::reserved)
-        .reduce(Resources.NONE, Resources::plus);
+    orders.add(new TaskOrder.Checkpoint(task.taskId(), task.worker().worker().name()));
   }
 
   private void placeQueuedJobs(List<TaskOrder> orders, long nowMillis) {
     Map<String, Resources> usedByTeam = usedByTeam();
     List<JobState> queued =
-        openJobs.stream()
-            .filter(state -> state.phase() == JobPhase.QUEUED)
+        jobs.queued()
             .sorted(
                 Comparator.comparing((JobState s) -> !isInQuota(s, usedByTeam))
-                    .thenComparing(byUrgency()))
+                    .thenComparing(JobState.BY_URGENCY))
             .toList();
     for (JobState state : queued) {
       state.setEstimate(estimatedSize(state.job()));
@@ -301,7 +269,7 @@
         state.place(worker, 0);
         orders.add(renewLease(state, worker));
       } else if (state.job().kind() == WorkKind.URGENT && isInQuota(state, usedByTeam)) {
-        preemptFor(state, orders, nowMillis);
+        preemption.victimsFor(state, nowMillis).forEach(victim -> checkpoint(victim, orders));
       }
     }
   }
@@ -323,61 +291,6 @@
         .orElse(null);
   }
 
-  /** Preempts the least urgent tasks on the worker that needs the fewest preemptions. */
-  private void preemptFor(JobState state, List<TaskOrder> orders, long nowMillis) {
-    if (nonUrgentFraction() <= timing.nonUrgentFloor() || isPreemptionPending(state, nowMillis)) {
-      return;
-    }
-    Resources size = state.reserved();
-    workers.values().stream()
-        .filter(worker -> worker.acceptsWork(nowMillis, timing))
-        .filter(worker -> size.fitsInto(worker.worker().capacity()))
-        .map(worker -> victimsFor(size, worker))
-        .filter(victims -> !victims.isEmpty())
-        .min(Comparator.comparingInt(List::size))
-        .ifPresent(victims -> victims.forEach(v -> checkpoint(v, v.worker(), orders)));
-  }
-
-  private static List<JobState> victimsFor(Resources size, WorkerState worker) {
-    List<JobState> victims = new ArrayList<>();
-    Resources free = worker.free();
-    List<JobState> leastUrgentFirst =
-        worker.tasks().stream()
-            .filter(task -> task.phase() == JobPhase.PLACED)
-            .filter(task -> task.job().kind() != WorkKind.URGENT)
-            .sorted(byUrgency().reversed())
-            .toList();
-    for (JobState task : leastUrgentFirst) {
-      if (size.fitsInto(free)) {
-        break;
-      }
-      victims.add(task);
-      free = free.plus(task.reserved());
-    }
-    return size.fitsInto(free) ? victims : List.of();
-  }
-
-  private boolean isPreemptionPending(JobState state, long nowMillis) {
-    Resources size = state.reserved();
-    return workers.values().stream()
-        .filter(worker -> worker.acceptsWork(nowMillis, timing))
-        .filter(w -> w.tasks().stream().anyMatch(t -> t.phase() == JobPhase.CHECKPOINTING))
-        .anyMatch(w -> size.fitsInto(w.worker().capacity().minus(reservedByPlaced(w))));
-  }
-
-  /** Returns the fraction of all processors that non-urgent work has reserved. */
-  private double nonUrgentFraction() {
-    long all = workers.values().stream().mapToLong(w -> w.worker().capacity().milliCores()).sum();
-    long nonUrgent =
-        workers.values().stream()
-            .flatMap(worker -> worker.tasks().stream())
-            .filter(task -> task.job().kind() != WorkKind.URGENT)
-            .filter(task -> task.phase() == JobPhase.PLACED)
-            .mapToLong(task -> task.reserved().milliCores())
-            .sum();
-    return all == 0 ? 0 : (double) nonUrgent / all;
-  }
-
   private Map<String, Resources> usedByTeam() {
     Map<String, Resources> used = new HashMap<>();
     workers.values().stream()
@@ -401,17 +314,6 @@
         .orElse(Resources.NONE);
   }
 
-  /** Returns the job whose latest attempt has the task identifier, or null. */
-  private JobState findByTask(String taskId) {
-    JobState state = jobs.get(taskId.substring(0, Math.max(0, taskId.lastIndexOf('#'))));
-    return state != null && state.taskId().equals(taskId) ? state : null;
-  }
-
-  private static Comparator<JobState> byUrgency() {
-    return Comparator.comparing((JobState state) -> state.job().kind())
-        .thenComparingLong(JobState::sequence);
-  }
-
   private static JobView view(JobState state) {
     String worker = state.worker() == null ? null : state.worker().worker().name();
     return new JobView(state.job(), state.phase(), worker, state.taskId(), state.reason());
