Back off when a request is sent again over a link that stayed up

Cause: LeaderClient sent each unanswered request again every 500 ms for as long as the caller waited, also to the same leader over an unbroken link, where copies can't help a slow leader.

Evidence: LeaderClientTest. Before, the third copy left one second after the first ("expected [2] but found [3]"), and a link that came up again triggered no copy by itself ("expected [2] but found [1]").

Change: the second copy to one leader leaves after 500 ms, each further one after 1 s. Copies leave at once when the leader or its term changes, when the link to it is up again, and when the receiver answered that it doesn't lead. The count of unanswered copies, and so the choice between "unknown" and "unavailable", is as before.

Ruled out: no copies at all while the link stays up. A frame, also a reply, is dropped while the send buffer of its link is full, and only a further copy brings the reply then. For the same reason the interval ends at 1 s: callers usually wait 3 s.

--- a/daemon/src/main/java/org/plantainknot/daemon/controller/ControllerNode.java
+++ b/daemon/src/main/java/org/plantainknot/daemon/controller/ControllerNode.java
@@ -180,6 +180,7 @@
             HostPort.parse(address).ifPresent(links::addAddress);
           }
           announcer.sendDirectory(peer.node());
+          leaderClient.onLinked(peer.node());
         });
   }
 
--- a/daemon/src/main/java/org/plantainknot/daemon/gateway/GatewayNode.java
+++ b/daemon/src/main/java/org/plantainknot/daemon/gateway/GatewayNode.java
@@ -71,6 +71,7 @@
   @Override
   public void onLinked(MemberId peer, String address) {
     HostPort.parse(address).ifPresent(links::addAddress);
+    leaderClient.onLinked(peer.node());
   }
 
   @Override
--- a/daemon/src/main/java/org/plantainknot/daemon/leader/LeaderClient.java
+++ b/daemon/src/main/java/org/plantainknot/daemon/leader/LeaderClient.java
@@ -9,6 +9,7 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionStage;
 import java.util.function.BiPredicate;
+import java.util.function.LongSupplier;
 import java.util.function.Predicate;
 import org.plantainknot.core.call.Reply;
 import org.plantainknot.core.call.Request;
@@ -22,14 +23,23 @@
 /**
  * Forwards requests to the leader and returns its replies.
  *
- * <p>A request is sent again when the leader changes or doesn't reply in time, which is safe
- * because all requests are idempotent. A request that was never sent is guaranteed not to have been
- * executed. The pending requests are guarded by this object's lock.
+ * <p>A request is sent again when the leader changes, when the link to it is up again, or, at
+ * increasing intervals, when it doesn't reply. This is safe because all requests are idempotent. A
+ * request that was never sent is guaranteed not to have been executed. The pending requests are
+ * guarded by this object's lock.
  */
 public final class LeaderClient implements RequestHandler {
 
   private static final FluentLogger logger = FluentLogger.forEnclosingClass();
-  private static final long RESEND_MILLIS = 500;
+
+  /** Delay of the second copy of a request to one leader; doubles with each further copy. */
+  private static final long MIN_RESEND_MILLIS = 500;
+
+  /**
+   * Longest delay of a copy. It leaves several copies within the 3 s that callers usually wait,
+   * since replies too may be lost while the leader's links are full.
+   */
+  private static final long MAX_RESEND_MILLIS = 1_000;
 
   /** Time without a reachable leader after which requests that were never sent are rejected. */
   private static final long LEADER_UNREACHABLE_TIMEOUT_MILLIS = 1_500;
@@ -46,7 +56,8 @@
     private final long startedAtMillis;
     private final long deadlineMillis;
     private LeaderView sentTo = LeaderView.NONE;
-    private long sentAtMillis;
+    private long resendDelayMillis;
+    private long resendAtMillis;
     private int unansweredCopies;
 
     Pending(Request request, long nowMillis, long timeoutMillis) {
@@ -56,6 +67,20 @@
       this.deadlineMillis = nowMillis + timeoutMillis;
     }
 
+    private void recordSent(LeaderView receiver, long nowMillis) {
+      resendDelayMillis =
+          receiver.equals(sentTo)
+              ? Math.min(2 * resendDelayMillis, MAX_RESEND_MILLIS)
+              : MIN_RESEND_MILLIS;
+      resendAtMillis = nowMillis + resendDelayMillis;
+      sentTo = receiver;
+      unansweredCopies++;
+    }
+
+    private void resendAtOnce() {
+      sentTo = LeaderView.NONE;
+    }
+
     /**
      * Copies answered by a node that is not the leader don't count: that node didn't execute them.
      */
@@ -66,10 +91,11 @@
 
   private final BiPredicate<String, FrameProto> sender;
   private final Predicate<String> linked;
+  private final LongSupplier clock;
   private final Map<Long, Pending> pendingById = new LinkedHashMap<>();
   private LeaderView leader = LeaderView.NONE;
   private long nextId = 1;
-  private long leaderUnreachableSinceMillis = Clock.nowMillis();
+  private long leaderUnreachableSinceMillis;
 
   /**
    * Creates a client.
@@ -78,13 +104,25 @@
    * @param linked returns whether a link to the node is up
    */
   public LeaderClient(BiPredicate<String, FrameProto> sender, Predicate<String> linked) {
+    this(sender, linked, Clock::nowMillis);
+  }
+
+  /**
+   * Creates a client with a clock of its own.
+   *
+   * @param clock returns the monotonic time in milliseconds
+   */
+  LeaderClient(
+      BiPredicate<String, FrameProto> sender, Predicate<String> linked, LongSupplier clock) {
     this.sender = sender;
     this.linked = linked;
+    this.clock = clock;
+    this.leaderUnreachableSinceMillis = clock.getAsLong();
   }
 
   @Override
   public synchronized CompletionStage<Reply> handle(Request request, long timeoutMillis) {
-    long nowMillis = Clock.nowMillis();
+    long nowMillis = clock.getAsLong();
     Pending pending =
         new Pending(request, nowMillis, Math.max(1, timeoutMillis - REPLY_MARGIN_MILLIS));
     long id = nextId++;
@@ -111,7 +149,7 @@
     }
     logger.atInfo().log("leader-seen node=%s term=%d", view.node(), view.term());
     leader = view;
-    resendPending(Clock.nowMillis());
+    resendPending(clock.getAsLong());
   }
 
   /**
@@ -127,6 +165,17 @@
     }
   }
 
+  /**
+   * Resends the pending requests that were sent to a node whose link is up again, since frames may
+   * have been lost with the earlier link.
+   */
+  public synchronized void onLinked(String node) {
+    if (leader.node().equals(node)) {
+      pendingById.values().forEach(Pending::resendAtOnce);
+      resendPending(clock.getAsLong());
+    }
+  }
+
   /**
    * Handles the reply to a call.
    *
@@ -140,7 +189,7 @@
         return;
       }
       if (!proto.hasBody()) {
-        pending.sentTo = LeaderView.NONE;
+        pending.resendAtOnce();
         pending.unansweredCopies--;
         return;
       }
@@ -151,7 +200,7 @@
 
   /** Resends pending requests and gives up expired ones. */
   public void tick() {
-    long nowMillis = Clock.nowMillis();
+    long nowMillis = clock.getAsLong();
     List<Pending> expired = new ArrayList<>();
     synchronized (this) {
       updateReachability(nowMillis);
@@ -177,7 +226,7 @@
       abandoned = List.copyOf(pendingById.values());
       pendingById.clear();
     }
-    long nowMillis = Clock.nowMillis();
+    long nowMillis = clock.getAsLong();
     abandoned.forEach(pending -> giveUp(pending, nowMillis));
   }
 
@@ -216,17 +265,14 @@
   }
 
   private void send(long id, Pending pending, long nowMillis) {
-    boolean sentRecently =
-        leader.equals(pending.sentTo) && nowMillis - pending.sentAtMillis < RESEND_MILLIS;
+    boolean sentRecently = leader.equals(pending.sentTo) && nowMillis < pending.resendAtMillis;
     if (!leader.isKnown() || sentRecently) {
       return;
     }
     CallProto call = CallProto.newBuilder().setCallId(id).setBody(pending.body).build();
     if (sender.test(leader.node(), FrameProto.newBuilder().setCall(call).build())) {
       leaderUnreachableSinceMillis = 0;
-      pending.unansweredCopies++;
-      pending.sentTo = leader;
-      pending.sentAtMillis = nowMillis;
+      pending.recordSent(leader, nowMillis);
     }
   }
 }
--- a/daemon/src/test/java/org/plantainknot/daemon/leader/LeaderClientTest.java
+++ b/daemon/src/test/java/org/plantainknot/daemon/leader/LeaderClientTest.java
@@ -25,22 +25,14 @@
   private final List<FrameProto> frames = new ArrayList<>();
   private LeaderClient client;
   private boolean linked;
+  private long nowMillis;
 
   @BeforeMethod
   void createClient() {
     linked = true;
     receivers.clear();
     frames.clear();
-    client =
-        new LeaderClient(
-            (node, frame) -> {
-              if (linked) {
-                receivers.add(node);
-                frames.add(frame);
-              }
-              return linked;
-            },
-            node -> linked);
+    client = new LeaderClient(this::send, node -> linked);
   }
 
   @Test
@@ -122,6 +114,72 @@
     assertFalse(call(3_000).isDone(), "the leader is reachable again");
   }
 
+  @Test
+  void aRequestToASlowLeaderIsResentLessAndLessOften() {
+    useFakeClock();
+    client.updateLeader(new LeaderView("c1", 1, ""));
+    call(10_000);
+    assertEquals(copiesAfter(499), 1);
+    assertEquals(copiesAfter(1), 2);
+    assertEquals(copiesAfter(999), 2);
+    assertEquals(copiesAfter(1), 3);
+    assertEquals(copiesAfter(999), 3);
+    assertEquals(copiesAfter(1), 4, "a copy more within a caller's 3 s");
+  }
+
+  @Test
+  void theNextLeaderGetsARequestAtOnceAndItsSecondCopySoon() {
+    useFakeClock();
+    client.updateLeader(new LeaderView("c1", 1, ""));
+    call(10_000);
+    copiesAfter(500);
+    copiesAfter(1_000);
+    client.updateLeader(new LeaderView("c1", 2, ""));
+    assertEquals(receivers.size(), 4);
+    assertEquals(copiesAfter(500), 5);
+  }
+
+  @Test
+  void aRequestIsResentAtOnceWhenTheLinkToTheLeaderIsUpAgain() {
+    useFakeClock();
+    client.updateLeader(new LeaderView("c1", 1, ""));
+    CompletableFuture<Reply> reply = call(10_000);
+    client.onLinked("c2");
+    assertEquals(receivers.size(), 1, "the link to another node");
+    client.onLinked("c1");
+    assertEquals(receivers.size(), 2);
+    client.failAllPending();
+    assertEquals(reply.join(), new Reply.OutcomeUnknown(), "the first copy may have arrived");
+  }
+
+  @Test
+  void aRequestThatReachedANonLeaderIsResentAtOnce() {
+    useFakeClock();
+    client.updateLeader(new LeaderView("c1", 1, ""));
+    call(10_000);
+    client.onReply(CallReplyProto.newBuilder().setCallId(1).build());
+    assertEquals(copiesAfter(1), 2);
+  }
+
+  private void useFakeClock() {
+    nowMillis = 10_000;
+    client = new LeaderClient(this::send, node -> linked, () -> nowMillis);
+  }
+
+  private int copiesAfter(long millis) {
+    nowMillis += millis;
+    client.tick();
+    return receivers.size();
+  }
+
+  private boolean send(String node, FrameProto frame) {
+    if (linked) {
+      receivers.add(node);
+      frames.add(frame);
+    }
+    return linked;
+  }
+
   private CompletableFuture<Reply> call(long timeoutMillis) {
     return client.handle(REQUEST, timeoutMillis).toCompletableFuture();
   }
