Measure commits, proposals by kind and joined requests

New metrics of the leader: timer commands.commit (proposal to application of its own commands), counters commands.proposed.KIND and commands.proposed.KIND.bytes, and requests.joined (requests that waited for a pending proposal). Proposals that are lost with leadership are not measured.

--- a/daemon/src/main/java/org/plantainknot/daemon/controller/ControllerNode.java
+++ b/daemon/src/main/java/org/plantainknot/daemon/controller/ControllerNode.java
@@ -54,6 +54,9 @@
   private static final long TICK_MILLIS = 20;
   private static final long MEMBERSHIP_INTERVAL_MILLIS = 100;
 
+  /** Index of a command that was not proposed because this member is not the leader. */
+  private static final long NOT_LEADER = -1;
+
   private final ClusterSettings settings;
   private final MemberId self;
   private final Replica replica;
@@ -66,7 +69,7 @@
   private final LeaderClient leaderClient;
   private final JobLedger ledger = new JobLedger();
   private final WorkerDirectory directory = new WorkerDirectory();
-  private final RequestProcessor requestProcessor = new RequestProcessor(ledger, this::propose);
+  private final RequestProcessor requestProcessor;
   private final ControlThread control = new ControlThread();
   private final LeaderAnnouncer announcer;
   private final JobStateMachine stateMachine;
@@ -103,13 +106,8 @@
     this.leaderClient = new LeaderClient(this::sendOrHandle, this::isReachable);
     this.announcer = new LeaderAnnouncer(links, leaderClient, self.node());
     this.writer = new StorageWriter(storage, this::onSynced, onStorageFailure);
-    ActionRunner runner =
-        new ActionRunner(
-            new WorkerClient(vertx),
-            new MachineClient(vertx, settings.machinesAddress(), settings.node()),
-            new AdviceClient(vertx, settings.adviceAddress()),
-            control::execute,
-            this::propose);
+    DecisionMetrics decisionMetrics = new DecisionMetrics(metrics);
+    this.requestProcessor = new RequestProcessor(ledger, this::propose, decisionMetrics);
     this.stateMachine =
         new JobStateMachine(
             replica,
@@ -117,9 +115,9 @@
             directory,
             settings,
             requestProcessor,
-            runner,
+            createActionRunner(vertx),
             announcer,
-            new DecisionMetrics(metrics));
+            decisionMetrics);
     this.callHandler =
         new CallHandler(
             stateMachine, directory, requestProcessor, settings, this::sendToControllers);
@@ -137,6 +135,15 @@
     }
   }
 
+  private ActionRunner createActionRunner(Vertx vertx) {
+    return new ActionRunner(
+        new WorkerClient(vertx),
+        new MachineClient(vertx, settings.machinesAddress(), settings.node()),
+        new AdviceClient(vertx, settings.adviceAddress()),
+        control::execute,
+        this::propose);
+  }
+
   /** Starts the links and the control thread. */
   public void start() {
     links.start(settings.host(), settings.memberPort());
@@ -270,9 +277,11 @@
   }
 
   private long propose(JobCommand command) {
-    long index = replica.propose(JobStateMachine.encode(command)).orElse(-1L);
+    byte[] encoded = JobStateMachine.encode(command);
+    Optional<Long> index = replica.propose(encoded);
+    index.ifPresent(proposed -> stateMachine.proposed(proposed, command, encoded.length));
     postFlush();
-    return index;
+    return index.orElse(NOT_LEADER);
   }
 
   private void postFlush() {
--- a/daemon/src/main/java/org/plantainknot/daemon/controller/JobStateMachine.java
+++ b/daemon/src/main/java/org/plantainknot/daemon/controller/JobStateMachine.java
@@ -37,6 +37,7 @@
   private final ActionRunner runner;
   private final LeaderAnnouncer announcer;
   private final DecisionMetrics metrics;
+  private final CommitTimes commitTimes;
   private final MachineOrderTimes orderTimes = new MachineOrderTimes();
   private JobScheduler scheduler;
   private long appliedIndex;
@@ -62,6 +63,7 @@
     this.runner = runner;
     this.announcer = announcer;
     this.metrics = metrics;
+    this.commitTimes = new CommitTimes(metrics);
   }
 
   static byte[] encode(JobCommand command) {
@@ -95,6 +97,11 @@
     transferringLeadership = true;
   }
 
+  /** Records that this member proposed a command at a log index. */
+  void proposed(long index, JobCommand command, int sizeBytes) {
+    commitTimes.proposed(index, command, sizeBytes, Clock.nowMillis());
+  }
+
   long appliedIndex() {
     return appliedIndex;
   }
@@ -127,6 +134,7 @@
     Applied result = ledger.apply(proto.getStampMillis(), command);
     orderTimes.applied(command, proto.getStampMillis(), Clock.wallMillis(), Clock.nowMillis());
     if (scheduler != null) {
+      commitTimes.applied(entry.index(), Clock.nowMillis());
       DecisionLog.applied(command, entry.index());
       metrics.countDecision(command, ledger);
       scheduler.applied(command);
@@ -177,6 +185,7 @@
     electedTerm = nextTerm;
     scheduler = null;
     requestProcessor.clear();
+    commitTimes.clear();
   }
 
   private LeaderView leaderView(ReplicaStatus status) {
--- a/daemon/src/main/java/org/plantainknot/daemon/controller/PendingChanges.java
+++ b/daemon/src/main/java/org/plantainknot/daemon/controller/PendingChanges.java
@@ -10,6 +10,7 @@
 import org.plantainknot.core.call.Reply;
 import org.plantainknot.core.call.Request;
 import org.plantainknot.core.job.JobCommand;
+import org.plantainknot.daemon.metrics.DecisionMetrics;
 
 /**
  * Changes that are proposed to the log and not applied yet, with the requests that wait for them.
@@ -49,6 +50,7 @@
   }
 
   private final ToLongFunction<JobCommand> proposer;
+  private final DecisionMetrics metrics;
   private final Map<Long, Change> changeByIndex = new HashMap<>();
   private final Map<JobCommand, Change> changeByCommand = new HashMap<>();
 
@@ -58,8 +60,9 @@
    * @param proposer proposes a command to the log and returns its index, or a negative number if
    *     this member doesn't lead
    */
-  PendingChanges(ToLongFunction<JobCommand> proposer) {
+  PendingChanges(ToLongFunction<JobCommand> proposer, DecisionMetrics metrics) {
     this.proposer = proposer;
+    this.metrics = metrics;
   }
 
   /**
@@ -77,6 +80,8 @@
       change = new Change(request, command);
       changeByCommand.put(command, change);
       changeByIndex.put(index, change);
+    } else {
+      metrics.countJoinedRequest();
     }
     change.answers.add(answer);
   }
--- a/daemon/src/main/java/org/plantainknot/daemon/controller/RequestProcessor.java
+++ b/daemon/src/main/java/org/plantainknot/daemon/controller/RequestProcessor.java
@@ -18,6 +18,7 @@
 import org.plantainknot.core.job.JobLedger;
 import org.plantainknot.core.job.QueueConfig;
 import org.plantainknot.core.job.WaveProgress;
+import org.plantainknot.daemon.metrics.DecisionMetrics;
 
 /**
  * Processes requests while this member is the leader.
@@ -46,9 +47,9 @@
    * @param proposer proposes a command to the log and returns its index, or a negative number if
    *     this member doesn't lead
    */
-  RequestProcessor(JobLedger ledger, ToLongFunction<JobCommand> proposer) {
+  RequestProcessor(JobLedger ledger, ToLongFunction<JobCommand> proposer, DecisionMetrics metrics) {
     this.ledger = ledger;
-    this.pendingChanges = new PendingChanges(proposer);
+    this.pendingChanges = new PendingChanges(proposer, metrics);
   }
 
   /** Drops all requests because this member is no longer the leader; their senders retry them. */
--- a/daemon/src/main/java/org/plantainknot/daemon/metrics/DecisionMetrics.java
+++ b/daemon/src/main/java/org/plantainknot/daemon/metrics/DecisionMetrics.java
@@ -1,23 +1,33 @@
 package org.plantainknot.daemon.metrics;
 
+import com.codahale.metrics.Counter;
 import com.codahale.metrics.Histogram;
 import com.codahale.metrics.MetricRegistry;
+import com.codahale.metrics.Timer;
 import java.util.Locale;
+import java.util.concurrent.TimeUnit;
 import org.plantainknot.core.job.Assignment;
 import org.plantainknot.core.job.JobCommand;
 import org.plantainknot.core.job.JobLedger;
 import org.plantainknot.core.job.RunEnd;
 
-/** Counts the leader's committed decisions and measures how long jobs wait for their first run. */
+/**
+ * Counts the leader's proposed commands and committed decisions, and measures how long commits take
+ * and jobs wait for their first run.
+ */
 public final class DecisionMetrics {
 
   private final MetricRegistry metrics;
   private final Histogram firstRunWaitMillis;
+  private final Timer commits;
+  private final Counter joinedRequests;
 
   /** Creates the metrics of one process. */
   public DecisionMetrics(MetricRegistry metrics) {
     this.metrics = metrics;
     this.firstRunWaitMillis = metrics.histogram("runs.first.wait.millis");
+    this.commits = metrics.timer("commands.commit");
+    this.joinedRequests = metrics.counter("requests.joined");
   }
 
   /** Counts an election of this process as leader. */
@@ -25,6 +35,23 @@
     metrics.counter("leader.elected").inc();
   }
 
+  /** Counts a command that this process proposed to the log, and its bytes, by kind of command. */
+  public void countProposal(JobCommand command, int sizeBytes) {
+    String kind = command.getClass().getSimpleName().toLowerCase(Locale.ROOT);
+    count("commands.proposed." + kind);
+    metrics.counter("commands.proposed." + kind + ".bytes").inc(sizeBytes);
+  }
+
+  /** Records the time from the proposal of a command to its application. */
+  public void recordCommit(long tookMillis) {
+    commits.update(tookMillis, TimeUnit.MILLISECONDS);
+  }
+
+  /** Counts a request that joined a pending proposal with the same command. */
+  public void countJoinedRequest() {
+    joinedRequests.inc();
+  }
+
   /** Counts a decision that was committed and applied while this process is the leader. */
   public void countDecision(JobCommand command, JobLedger ledger) {
     if (command instanceof JobCommand.Assign assign) {
--- a/daemon/src/test/java/org/plantainknot/daemon/controller/RequestProcessorTest.java
+++ b/daemon/src/test/java/org/plantainknot/daemon/controller/RequestProcessorTest.java
@@ -2,6 +2,7 @@
 
 import static org.testng.Assert.assertEquals;
 
+import com.codahale.metrics.MetricRegistry;
 import java.util.ArrayList;
 import java.util.List;
 import org.plantainknot.core.call.JobDraft;
@@ -17,6 +18,7 @@
 import org.plantainknot.core.job.Schedule;
 import org.plantainknot.core.job.ServiceConfig;
 import org.plantainknot.core.job.StepSpec;
+import org.plantainknot.daemon.metrics.DecisionMetrics;
 import org.testng.annotations.BeforeMethod;
 import org.testng.annotations.Test;
 
@@ -28,6 +30,7 @@
   private final List<JobCommand> proposed = new ArrayList<>();
   private final List<Reply> replies = new ArrayList<>();
   private JobLedger ledger;
+  private MetricRegistry metrics;
   private RequestProcessor processor;
   private boolean leads;
   private int applied;
@@ -40,7 +43,8 @@
     applied = 0;
     ledger = new JobLedger();
     ledger.apply(1, new JobCommand.PutConfig(config(1)));
-    processor = new RequestProcessor(ledger, this::propose);
+    metrics = new MetricRegistry();
+    processor = new RequestProcessor(ledger, this::propose, new DecisionMetrics(metrics));
   }
 
   @Test
@@ -59,6 +63,7 @@
     process(new Request.PutConfig(config(7)));
     process(new Request.PutConfig(config(7)));
     assertEquals(proposed.size(), 1);
+    assertEquals(metrics.counter("requests.joined").getCount(), 2);
     applyAll();
     assertEquals(replies.size(), 3);
   }
