Known red: a run is given up before the lease of its start has expired

An assignment that is committed after a restart of its worker was seen is still started, with a new lease, but the time at which its run is given up counts from the restart.

--- a/core/src/test/java/org/plantainknot/core/schedule/DispatcherTest.java
+++ b/core/src/test/java/org/plantainknot/core/schedule/DispatcherTest.java
@@ -170,6 +170,33 @@
     }
   }
 
+  @Test
+  void runIsNotGivenUpBeforeTheLeaseOfAStartSentAfterTheWorkerWasTakenForRestarted() {
+    start(false);
+    nowMillis = 5_000;
+    reportAndTick(List.of());
+    long clockOfAnotherLife = 10;
+    dispatcher.started(
+        TARGET, run, new OrderAnswer(CallOutcome.ACCEPTED, clockOfAnotherLife), nowMillis);
+    nowMillis += 1_500;
+    assign();
+    long grantedUntilMillis = 0;
+    List<Action> actions = tick();
+    while (!givesUp(actions)) {
+      for (Action action : actions) {
+        if (action instanceof Action.Start start) {
+          grantedUntilMillis = Math.max(grantedUntilMillis, start.untilMillis());
+        }
+      }
+      nowMillis += STEP_MILLIS;
+      actions = tick();
+    }
+    long workerClockMillis = nowMillis + 1;
+    assertTrue(
+        workerClockMillis > grantedUntilMillis,
+        "given up at " + workerClockMillis + ", lease until " + grantedUntilMillis);
+  }
+
   @Test
   void endsAreProposedOnceHoweverLongTheirCommitTakes() {
     start(false);
