Order no maintenance while an assignment to the machine is uncommitted

Moves were checked again as they were committed, maintenance was not.

A machine is empty if it has neither runs nor proposed assignments, as for moves. MaintainerTest.maintenanceIsNotOrderedWhileAnAssignmentToTheMachineIsUncommitted failed before (1 order).

--- a/core/src/main/java/org/plantainknot/core/schedule/Maintainer.java
+++ b/core/src/main/java/org/plantainknot/core/schedule/Maintainer.java
@@ -233,12 +233,11 @@
       WaveProgress wave, String name, Set<String> reserved, long nowMillis) {
     Machine machine = machines.find(name);
     WorkerHeartbeat worker = latestWorkerOf(name, machine);
-    boolean empty = true;
+    boolean empty = worker == null || planner.isIdle(worker);
     if (worker != null) {
       reserved.add(worker.life().worker());
       incarnationByMachine.put(name, worker.life());
       for (TrackedRun run : dispatcher.runsOn(worker.life())) {
-        empty = false;
         stopIfAllowed(run, nowMillis);
       }
     }
