Send nothing for a machine order whose completion is proposed

An answered order stayed open until the log had applied its completion. With slow commits it was sent again after its 3 s, a second answer proposed a second completion, and a move that was dropped since work had been placed on the machine was sent all the same by the next tick.

An order whose completion is proposed is neither sent nor answered again. MaintainerTest.anAnsweredOrderIsNotSentAgainWhileItsEndIsUncommitted and aMoveDroppedBecauseOfPlacedWorkIsNotSentWhileItsEndIsUncommitted failed before.

--- a/core/src/main/java/org/plantainknot/core/schedule/Maintainer.java
+++ b/core/src/main/java/org/plantainknot/core/schedule/Maintainer.java
@@ -48,6 +48,7 @@
   private final Map<String, WorkerIncarnation> incarnationByMachine = new HashMap<>();
   private final Map<String, WorkerIncarnation> incarnationBeforeOrder = new HashMap<>();
   private final Set<String> draining = new HashSet<>();
+  private final Set<String> settling = new HashSet<>();
 
   /**
    * Creates a maintainer for one leader's term; machines already in maintenance count as down from
@@ -94,6 +95,7 @@
       }
     } else if (command instanceof SettleMachine settle) {
       String machine = settle.order().machine();
+      settling.remove(machine);
       nextSendMillis.remove(machine);
       draining.remove(machine);
       incarnationByMachine.remove(machine);
@@ -121,10 +123,13 @@
 
   /** Handles the outcome of an order. */
   public void orderAnswered(MachineOrder order, MachineOutcome outcome, long nowMillis) {
+    if (settling.contains(order.machine())) {
+      return;
+    }
     switch (outcome) {
-      case ACCEPTED, IMPOSSIBLE -> dispatcher.propose(new SettleMachine(order, true));
+      case ACCEPTED, IMPOSSIBLE -> settle(order, true);
       case BUSY -> {
-        dispatcher.propose(new SettleMachine(order, false));
+        settle(order, false);
         incarnationBeforeOrder.remove(order.machine());
         if (!order.isMove()) {
           downSinceMillis.put(order.machine(), nowMillis);
@@ -182,7 +187,9 @@
   private void resendOrders(long nowMillis) {
     for (MachineOrder order : openOrders.recorded()) {
       boolean due = nowMillis >= nextSendMillis.getOrDefault(order.machine(), 0L);
-      if (due && orderWait.isOver(order.machine(), nowMillis)) {
+      if (due
+          && !settling.contains(order.machine())
+          && orderWait.isOver(order.machine(), nowMillis)) {
         send(order, nowMillis);
       }
     }
@@ -192,7 +199,7 @@
   private void sendUnlessWorkPlaced(MachineOrder order, long nowMillis) {
     WorkerHeartbeat worker = latestWorkerOf(order.machine(), machines.find(order.machine()));
     if (order.isMove() && worker != null && !planner.isIdle(worker)) {
-      dispatcher.propose(new SettleMachine(order, false));
+      settle(order, false);
       return;
     }
     if (worker != null) {
@@ -201,6 +208,12 @@
     send(order, nowMillis);
   }
 
+  /** Proposes that an order is completed; until the log applies that, nothing is sent for it. */
+  private void settle(MachineOrder order, boolean carriedOut) {
+    settling.add(order.machine());
+    dispatcher.propose(new SettleMachine(order, carriedOut));
+  }
+
   private void send(MachineOrder order, long nowMillis) {
     nextSendMillis.put(order.machine(), nowMillis + ORDER_ANSWER_MILLIS);
     dispatcher.enqueue(new Action.SendMachineOrder(order, term));
