Start nothing on a worker that was taken for restarted

An assignment that was committed after its worker had been taken for restarted was still started, with a new lease, while the wait after which the run is given up counted from the restart: given up at 12.2 s with a lease until 12.5 s. DispatcherTest.runIsNotGivenUpBeforeTheLeaseOfAStartSentAfterTheWorkerWasTakenForRestarted failed before.

--- a/core/src/main/java/org/plantainknot/core/schedule/ActionQueue.java
+++ b/core/src/main/java/org/plantainknot/core/schedule/ActionQueue.java
@@ -55,10 +55,10 @@
             session.hasReported() ? timing.renewWaitMillis() : 0));
   }
 
-  /** Starts a run, unless its worker has not answered recently. */
+  /** Starts a run, unless its worker has not answered recently or has restarted. */
   void start(TrackedRun run, long nowMillis) {
     WorkerSession session = sessions.of(run.incarnation());
-    if (sessions.isFresh(session, nowMillis)) {
+    if (sessions.isFresh(session, nowMillis) && !session.hasEnded()) {
       sessions
           .targetOf(run.incarnation())
           .ifPresent(target -> start(run, target, session, nowMillis));
