Put a cancellation behind the submission that it follows

A second cancellation that arrived after a submission joined an earlier one that was in the log before the submission: its sender heard that there was no such job, and the job ran. A cancellation is no longer joined once a submission of its job is proposed after it. The fault came with the joining of requests. RequestProcessorTest.aCancellationAfterAPendingSubmissionIsNotAnsweredByAnEarlierCancellation failed before.

--- a/daemon/src/main/java/org/plantainknot/daemon/controller/PendingChanges.java
+++ b/daemon/src/main/java/org/plantainknot/daemon/controller/PendingChanges.java
@@ -16,8 +16,9 @@
  * Changes that are proposed to the log and not applied yet, with the requests that wait for them.
  *
  * <p>A request whose command equals that of a pending change joins it instead of being proposed
- * again. All changes that callers request are idempotent, so that a second command applied right
- * after the first would have the same reply. Used by the control thread only.
+ * again. All changes that callers request are idempotent, so that a second command applied after
+ * the first would have the same reply, unless a submission lies between two cancellations. Used by
+ * the control thread only.
  */
 final class PendingChanges {
 
@@ -79,6 +80,7 @@
       }
       change = new Change(request, command);
       changeByCommand.put(command, change);
+      endJoining(command);
       changeByIndex.put(index, change);
     } else {
       metrics.countJoinedRequest();
@@ -86,11 +88,18 @@
     change.answers.add(answer);
   }
 
+  /** A cancellation that arrives after a submission must follow it in the log. */
+  private void endJoining(JobCommand command) {
+    if (command instanceof JobCommand.Submit submit) {
+      changeByCommand.remove(new JobCommand.Cancel(submit.spec().id()));
+    }
+  }
+
   /** Removes the change that was proposed at a log index and is now applied, if there is one. */
   Optional<Change> remove(long index) {
     Change change = changeByIndex.remove(index);
     if (change != null) {
-      changeByCommand.remove(change.command);
+      changeByCommand.remove(change.command, change);
     }
     return Optional.ofNullable(change);
   }
