Number calls from a random start, so that no late reply is taken for another's

Calls were numbered from 1 in each process, and replies go to a node by name. After a restart, a late reply to a call of the earlier process answered another request, so that a change that was never made could be acknowledged. Two tests that named call 1 take the number from the frame that was sent; they check the same.

--- a/daemon/src/main/java/org/plantainknot/daemon/leader/LeaderClient.java
+++ b/daemon/src/main/java/org/plantainknot/daemon/leader/LeaderClient.java
@@ -8,6 +8,7 @@
 import java.util.Map;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionStage;
+import java.util.concurrent.ThreadLocalRandom;
 import java.util.function.BiPredicate;
 import java.util.function.LongSupplier;
 import java.util.function.Predicate;
@@ -94,7 +95,10 @@
   private final LongSupplier clock;
   private final Map<Long, Pending> pendingById = new LinkedHashMap<>();
   private LeaderView leader = LeaderView.NONE;
-  private long nextId = 1;
+
+  /** Starts at random, since a reply to a call of an earlier process of this node may be late. */
+  private long nextId = ThreadLocalRandom.current().nextLong(1L << 62);
+
   private long leaderUnreachableSinceMillis;
 
   /**
--- a/daemon/src/test/java/org/plantainknot/daemon/leader/LeaderClientTest.java
+++ b/daemon/src/test/java/org/plantainknot/daemon/leader/LeaderClientTest.java
@@ -91,7 +91,8 @@
   void aRequestThatReachedOnlyNonLeadersIsAnsweredAsUnavailable() throws InterruptedException {
     client.updateLeader(new LeaderView("c1", 1, ""));
     CompletableFuture<Reply> reply = call(60);
-    client.onReply(CallReplyProto.newBuilder().setCallId(1).build());
+    client.onReply(
+        CallReplyProto.newBuilder().setCallId(frames.get(0).getCall().getCallId()).build());
     Thread.sleep(40);
     client.tick();
     assertTrue(reply.join() instanceof Reply.Unavailable);
@@ -169,7 +170,8 @@
     useFakeClock();
     client.updateLeader(new LeaderView("c1", 1, ""));
     call(10_000);
-    client.onReply(CallReplyProto.newBuilder().setCallId(1).build());
+    client.onReply(
+        CallReplyProto.newBuilder().setCallId(frames.get(0).getCall().getCallId()).build());
     assertEquals(copiesAfter(1), 2);
   }
 
