--- a/core/src/main/java/org/plantainknot/core/schedule/RunTable.java
+++ b/core/src/main/java/org/plantainknot/core/schedule/RunTable.java
@@ -22,11 +22,13 @@
         .add(run);
   }
 
-  void remove(RunId id) {
+  /** Removes a run and returns it, or null if there is none with the given identifier. */
+  TrackedRun remove(RunId id) {
     TrackedRun run = runs.remove(id);
     if (run != null) {
       detach(run);
     }
+    return run;
   }
 
   /** Moves a run to a later incarnation of its worker, which accepted the start. */
--- a/core/src/main/java/org/plantainknot/core/schedule/WorkerSessions.java
+++ b/core/src/main/java/org/plantainknot/core/schedule/WorkerSessions.java
@@ -61,20 +61,25 @@
    * start order names the worker but not its incarnation.
    */
   boolean cannotRunOnSuccessor(TrackedRun run, long nowMillis) {
-    Optional<WorkerHeartbeat> successor =
-        directory
-            .find(run.incarnation().worker())
-            .filter(worker -> worker.life().bornMillis() > run.incarnation().bornMillis());
+    Optional<WorkerIncarnation> successor = successorOf(run.incarnation());
     if (successor.isEmpty()) {
       return of(run.incarnation()).isUnannouncedRestartExpired(nowMillis);
     }
-    WorkerSession session = of(successor.get().life());
+    WorkerSession session = of(successor.get());
     boolean reportedSince =
         !run.isAwaitingAnswer() && session.reportRequestedAtMillis() > run.answeredAtMillis();
-    return hasIncarnationEnded(successor.get().life(), nowMillis)
+    return hasIncarnationEnded(successor.get(), nowMillis)
         || (reportedSince && !session.lists(run.id()));
   }
 
+  /** Returns the later incarnation that the worker has announced, if there is one. */
+  Optional<WorkerIncarnation> successorOf(WorkerIncarnation incarnation) {
+    return directory
+        .find(incarnation.worker())
+        .map(WorkerHeartbeat::life)
+        .filter(incarnation::isEarlierThan);
+  }
+
   boolean hasIncarnationEnded(WorkerIncarnation incarnation, long nowMillis) {
     WorkerSession session = of(incarnation);
     if (session.hasEnded() || session.isLeaseExpired(nowMillis)) {
