--- a/daemon/src/test/java/org/plantainknot/daemon/controller/CommitTimesTest.java
+++ b/daemon/src/test/java/org/plantainknot/daemon/controller/CommitTimesTest.java
@@ -9,7 +9,7 @@
 import org.testng.annotations.BeforeMethod;
 import org.testng.annotations.Test;
 
-/** Tests what is measured of the commands that a leader proposes. */
+/** Tests the times and counts of the commands that a leader proposes. */
 public class CommitTimesTest {
 
   private static final JobCommand CANCEL = new JobCommand.Cancel("ab");
