Aim steps of the log's fuzz oracle at its two lease faults

Change: two steps, one that cuts a leader and a lease holder off while the others elect and advance the index in force, and one that delivers a grant after its lease has expired. The network of the fake cluster has its own class.

--- a/core/src/test/java/org/plantainknot/core/replica/FakeCluster.java
+++ b/core/src/test/java/org/plantainknot/core/replica/FakeCluster.java
@@ -6,11 +6,13 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Set;
 import java.util.SortedMap;
 import java.util.TreeMap;
 import org.plantainknot.core.lease.LeaseRequest;
 import org.plantainknot.core.lease.LeaseTable;
+import org.plantainknot.core.replica.FakeNetwork.Packet;
 
 /**
  * Members on a simulated network that loses, duplicates, delays and reorders messages and can be
@@ -24,17 +26,22 @@
   static final ReplicaTiming TIMING = new ReplicaTiming(50, 300, 600);
 
   private static final String IN_FORCE = "in force ";
+  private static final int STEP_MILLIS = 20;
 
-  private record Packet(MemberId sender, MemberId receiver, Object message) {}
+  /** Steps within which a leader without a majority steps down and another one is elected. */
+  private static final int FAILOVER_STEPS = 60;
+
+  private static final int GRANT_STEPS = 5;
+
+  /** Steps that exceed the lease duration and its margin. */
+  private static final int LEASE_STEPS = 20;
 
   private record Grant(LeaseRequest request, long commitIndex) {}
 
   private final Fault fault;
   private final int voters;
   private final List<FakeNode> nodes = new ArrayList<>();
-  private final List<Packet> inFlight = new ArrayList<>();
-  private final List<Packet> delayed = new ArrayList<>();
-  private final Set<String> blockedLinks = new HashSet<>();
+  private final FakeNetwork network = new FakeNetwork();
   private final Set<String> lostDisks = new HashSet<>();
   private final Map<Long, String> contentByIndex = new HashMap<>();
   private final Map<Long, MemberId> leaderByTerm = new HashMap<>();
@@ -99,9 +106,9 @@
     if (action < 876) {
       deliver(argument, true);
     } else if (action < 883) {
-      requeueDelayed(argument);
+      network.requeueDelayed(argument);
     } else if (action < 900) {
-      dropOrDelay(argument);
+      network.dropOrDelay(argument);
     } else if (action < 906) {
       ifRunning(node, n -> n.crash(argument % 3));
     } else if (action < 909) {
@@ -111,38 +118,98 @@
     } else if (action < 942) {
       partition(node, argument);
     } else if (action < 948) {
-      blockedLinks.clear();
+      network.heal();
     } else if (action < 955) {
       ifRunning(node, FakeNode::compact);
     } else if (action < 960) {
       loseDisk(node);
     } else if (action < 970) {
       nodes.forEach(n -> ifRunning(n, this::replaceLostDisks));
-    } else {
+    } else if (action < 997) {
       nodes.forEach(n -> ifRunning(n, this::proposeInForceIndex));
+    } else if (action < 999) {
+      requestLeasesOfLeaderThatIsCutOff(argument);
+    } else {
+      deliverLeaseGrantLate(node);
+    }
+  }
+
+  /** Cuts a leader and one lease holder off from all others, while the others elect a leader. */
+  private void requestLeasesOfLeaderThatIsCutOff(int argument) {
+    Optional<FakeNode> leader = runningLeader();
+    if (leader.isEmpty()) {
+      return;
+    }
+    FakeNode holder = nodes.get(argument % nodes.size());
+    for (FakeNode other : nodes) {
+      if (other != leader.get() && other != holder) {
+        network.blockBothWays(leader.get(), other);
+        network.blockBothWays(holder, other);
+      }
+    }
+    for (int i = 0; i < FAILOVER_STEPS; i++) {
+      ifRunning(holder, this::requestLease);
+      advanceInForceIndex();
     }
+    network.heal();
+  }
+
+  /** Delivers a grant after the lease has expired and the index in force has advanced. */
+  private void deliverLeaseGrantLate(FakeNode holder) {
+    if (runningLeader().isEmpty() || !holder.isRunning()) {
+      return;
+    }
+    requestLease(holder);
+    List<Packet> grants = new ArrayList<>();
+    for (int i = 0; i < GRANT_STEPS && grants.isEmpty(); i++) {
+      deliverAll();
+      nodes.forEach(n -> ifRunning(n, FakeNode::sync));
+      grantLeases();
+      grants.addAll(network.remove(packet -> isGrantFor(holder, packet)));
+    }
+    nodes.forEach(other -> network.blockBothWays(holder, other));
+    for (int i = 0; i < LEASE_STEPS; i++) {
+      advanceInForceIndex();
+    }
+    network.heal();
+    grants.forEach(this::deliver);
+    checkLeases();
+  }
+
+  private static boolean isGrantFor(FakeNode holder, Packet packet) {
+    return packet.message() instanceof Grant && packet.receiver().equals(holder.member());
+  }
+
+  private Optional<FakeNode> runningLeader() {
+    return nodes.stream().filter(n -> n.isRunning() && n.replica().status().isLeader()).findFirst();
+  }
+
+  /** Lets the members that reach each other commit for a while. */
+  private void advanceInForceIndex() {
+    deliverAll();
+    nodes.forEach(n -> ifRunning(n, FakeNode::sync));
+    grantLeases();
+    advanceTime(STEP_MILLIS);
+    nodes.forEach(n -> ifRunning(n, this::propose));
+    nodes.forEach(n -> ifRunning(n, this::proposeInForceIndex));
   }
 
   /** Ends all failures, and checks that the cluster commits again and all nodes catch up. */
   void recoverAndCheck() {
-    blockedLinks.clear();
+    network.heal();
     for (int i = 0; i < 400; i++) {
       nodes.forEach(this::restart);
-      for (int k = inFlight.size(); k > 0; k--) {
-        deliver(0, false);
-      }
+      deliverAll();
       nodes.forEach(FakeNode::sync);
-      advanceTime(20);
+      advanceTime(STEP_MILLIS);
       nodes.forEach(this::replaceLostDisks);
     }
     long proposalsBefore = proposals;
     nodes.forEach(this::propose);
     for (int i = 0; i < 20; i++) {
-      for (int k = inFlight.size(); k > 0; k--) {
-        deliver(0, false);
-      }
+      deliverAll();
       nodes.forEach(FakeNode::sync);
-      advanceTime(20);
+      advanceTime(STEP_MILLIS);
     }
     require(proposals > proposalsBefore, "no leader after all failures have ended: " + describe());
     long appliedIndex = nodes.get(0).appliedIndex();
@@ -157,9 +224,7 @@
   }
 
   void send(MemberId sender, MemberId receiver, Object message) {
-    if (!blockedLinks.contains(sender.node() + receiver.node())) {
-      inFlight.add(new Packet(sender, receiver, message));
-    }
+    network.send(new Packet(sender, receiver, message));
   }
 
   void recordCommit(MemberId member, Entry entry) {
@@ -197,11 +262,10 @@
   }
 
   private void deliver(int argument, boolean duplicate) {
-    if (inFlight.isEmpty()) {
-      return;
-    }
-    int index = argument % inFlight.size();
-    Packet packet = duplicate ? inFlight.get(index) : inFlight.remove(index);
+    network.take(argument, duplicate).ifPresent(this::deliver);
+  }
+
+  private void deliver(Packet packet) {
     FakeNode receiver = nodeNamed(packet.receiver().node());
     if (!receiver.isRunning() || !receiver.member().equals(packet.receiver())) {
       return;
@@ -210,6 +274,12 @@
     receiver.drain();
   }
 
+  private void deliverAll() {
+    for (int i = network.inFlightCount(); i > 0; i--) {
+      deliver(0, false);
+    }
+  }
+
   private void receive(FakeNode receiver, Packet packet) {
     if (packet.message() instanceof LeaseRequest request) {
       receiver.receiveLeaseRequest(request, nowMillis);
@@ -313,22 +383,6 @@
     node.drain();
   }
 
-  private void dropOrDelay(int argument) {
-    if (inFlight.isEmpty()) {
-      return;
-    }
-    Packet packet = inFlight.remove(argument % inFlight.size());
-    if (argument % 4 != 0) {
-      delayed.add(packet);
-    }
-  }
-
-  private void requeueDelayed(int argument) {
-    if (!delayed.isEmpty()) {
-      inFlight.add(delayed.remove(argument % delayed.size()));
-    }
-  }
-
   private void restart(FakeNode node) {
     if (!node.isRunning()) {
       node.start(nowMillis);
@@ -344,12 +398,9 @@
 
   private void partition(FakeNode node, int argument) {
     FakeNode other = nodes.get(argument / nodes.size() % nodes.size());
-    blockedLinks.add(node.member().node() + other.member().node());
+    network.block(node, other);
     if (argument % 2 == 0) {
-      for (FakeNode peer : nodes) {
-        blockedLinks.add(node.member().node() + peer.member().node());
-        blockedLinks.add(peer.member().node() + node.member().node());
-      }
+      nodes.forEach(peer -> network.blockBothWays(node, peer));
     }
   }
 
