Send a pipeline again once after a lost append

Cause: each append behind a lost one is rejected, and each rejection moved the next index back, so that ten pipelined entries were sent 90 times.

Change: rejections that repeat an earlier one (no later round, no lower index) are ignored until the match index rises; what is lost again is recovered by the next heartbeat round.

Ruled out: a limit by time, which would delay the recovery from a second loss.

--- a/core/src/main/java/org/plantainknot/core/replica/Progress.java
+++ b/core/src/main/java/org/plantainknot/core/replica/Progress.java
@@ -3,9 +3,13 @@
 /** Replication progress of one other member, from the leader's point of view. */
 final class Progress {
 
+  private static final long NO_ROUND = -1;
+
   private long nextIndex;
   private long matchIndex;
   private long ackedRound;
+  private long rejectedIndex;
+  private long resentRound = NO_ROUND;
   private long lastReplyAtMillis;
   private long snapshotSentAtMillis = Long.MIN_VALUE / 2;
 
@@ -48,11 +52,30 @@
   }
 
   void recordMatch(long index) {
-    matchIndex = Math.max(matchIndex, index);
+    if (index > matchIndex) {
+      matchIndex = index;
+      resentRound = NO_ROUND;
+    }
     nextIndex = Math.max(nextIndex, matchIndex + 1);
   }
 
-  void recordRejection(long receiverLastIndex) {
-    nextIndex = Math.max(matchIndex + 1, Math.min(nextIndex - 1, receiverLastIndex + 1));
+  /**
+   * Moves the next index back after a rejection, so that the entries are sent again.
+   *
+   * <p>All appends that were in flight behind a lost one are rejected. Only the first of these
+   * rejections counts; the others tell of the same or a higher index and of no later round. If the
+   * entries that were sent again are lost too, a later round is rejected.
+   *
+   * @param receiverIndex last index that the receiver may have in common
+   * @param round round of the rejected append
+   * @param currentRound round in which the entries are sent again
+   */
+  void recordRejection(long receiverIndex, long round, long currentRound) {
+    if (round <= resentRound && receiverIndex >= rejectedIndex) {
+      return;
+    }
+    nextIndex = Math.max(matchIndex + 1, Math.min(nextIndex - 1, receiverIndex + 1));
+    rejectedIndex = receiverIndex;
+    resentRound = currentRound;
   }
 }
--- a/core/src/main/java/org/plantainknot/core/replica/Replica.java
+++ b/core/src/main/java/org/plantainknot/core/replica/Replica.java
@@ -344,7 +344,7 @@
       progress.recordMatch(reply.matchIndex());
       advanceCommit();
     } else {
-      progress.recordRejection(reply.matchIndex());
+      progress.recordRejection(reply.matchIndex(), reply.round(), leadership.round());
     }
     sendAppend(sender, leadership.round(), false, nowMillis);
   }
--- a/core/src/test/java/org/plantainknot/core/replica/ReplicaTest.java
+++ b/core/src/test/java/org/plantainknot/core/replica/ReplicaTest.java
@@ -92,7 +92,7 @@
     assertFalse(replica.status().isLeader());
   }
 
-  @Test(groups = "known-red")
+  @Test
   void appendsThatFollowALostOneAreRejectedManyTimesAndTheirEntriesResentOnce() {
     elect();
     drainAppends();
