Keep frames in order while a peer is slow to read, in place of dropping them

Change: no frame is dropped while its link lives; above 24 MiB waiting the link is closed, which the receiver notices. Each time a send buffer fills up or empties there is a line (link-congested, link-relieved), and links.congestions counts.

Ruled out: waiting on the sending thread, which is the control thread.

--- a/daemon/src/main/java/org/plantainknot/daemon/ClusterProcess.java
+++ b/daemon/src/main/java/org/plantainknot/daemon/ClusterProcess.java
@@ -71,7 +71,7 @@
               new MeteredHandler(controller, metrics, "control"));
       control.start();
     } else {
-      gateway = new GatewayNode(settings);
+      gateway = new GatewayNode(settings, metrics);
       gateway.start();
       vertx.setPeriodic(TICK_MILLIS, id -> gateway.tick());
       callers =
--- a/daemon/src/main/java/org/plantainknot/daemon/controller/ControllerNode.java
+++ b/daemon/src/main/java/org/plantainknot/daemon/controller/ControllerNode.java
@@ -103,6 +103,7 @@
             settings.seedLinks(),
             Optional.empty(),
             this);
+    metrics.gauge(MemberLinks.CONGESTIONS_METRIC, () -> links::congestions);
     this.leaderClient = new LeaderClient(this::sendOrHandle, this::isReachable);
     this.announcer = new LeaderAnnouncer(links, leaderClient, self.node());
     this.writer = new StorageWriter(storage, this::onSynced, onStorageFailure);
--- a/daemon/src/main/java/org/plantainknot/daemon/gateway/GatewayNode.java
+++ b/daemon/src/main/java/org/plantainknot/daemon/gateway/GatewayNode.java
@@ -1,5 +1,6 @@
 package org.plantainknot.daemon.gateway;
 
+import com.codahale.metrics.MetricRegistry;
 import java.util.Optional;
 import java.util.UUID;
 import java.util.concurrent.CompletionStage;
@@ -24,7 +25,7 @@
   private volatile boolean stopping;
 
   /** Creates the gateway; no link is opened before {@link #start}. */
-  public GatewayNode(ClusterSettings settings) {
+  public GatewayNode(ClusterSettings settings, MetricRegistry metrics) {
     String process = UUID.randomUUID().toString();
     this.links =
         new MemberLinks(
@@ -35,6 +36,7 @@
             Optional.empty(),
             this);
     this.leaderClient = new LeaderClient(links::send, links::isLinked);
+    metrics.gauge(MemberLinks.CONGESTIONS_METRIC, () -> links::congestions);
   }
 
   /** Starts opening links to the controllers. */
--- a/daemon/src/main/java/org/plantainknot/daemon/member/LinkHandler.java
+++ b/daemon/src/main/java/org/plantainknot/daemon/member/LinkHandler.java
@@ -27,12 +27,26 @@
   private final HelloProto hello;
   private final FrameListener listener;
   private final BiConsumer<MemberId, Channel> onHello;
+  private final Runnable onCongestion;
   private MemberId peer;
 
-  LinkHandler(HelloProto hello, FrameListener listener, BiConsumer<MemberId, Channel> onHello) {
+  /**
+   * Creates the handler of one end of a link.
+   *
+   * @param hello frame that tells the peer who this member is
+   * @param listener receiver of the peer's frames
+   * @param onHello called when the peer has told who it is
+   * @param onCongestion called each time the send buffer becomes full
+   */
+  LinkHandler(
+      HelloProto hello,
+      FrameListener listener,
+      BiConsumer<MemberId, Channel> onHello,
+      Runnable onCongestion) {
     this.hello = hello;
     this.listener = listener;
     this.onHello = onHello;
+    this.onCongestion = onCongestion;
   }
 
   @Override
@@ -65,6 +79,16 @@
     }
   }
 
+  @Override
+  public void channelWritabilityChanged(ChannelHandlerContext context) {
+    boolean congested = !context.channel().isWritable();
+    if (congested) {
+      onCongestion.run();
+    }
+    logger.atInfo().log("link-%s peer=%s", congested ? "congested" : "relieved", peer);
+    context.fireChannelWritabilityChanged();
+  }
+
   @Override
   public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
     logger.atInfo().log("link-closed reason=%s peer=%s", cause, peer);
--- a/daemon/src/main/java/org/plantainknot/daemon/member/MemberLinks.java
+++ b/daemon/src/main/java/org/plantainknot/daemon/member/MemberLinks.java
@@ -20,6 +20,7 @@
 import java.util.TreeMap;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.LongAdder;
 import org.plantainknot.core.replica.MemberId;
 import org.plantainknot.daemon.settings.HostPort;
 import org.plantainknot.daemon.storage.StorageCodec;
@@ -34,16 +35,24 @@
  * listens there. A frame is sent over the link that this member opened to the receiver or, if there
  * is none, over a link that the receiver opened. Receivers named in the settings are the exception:
  * each side then sends only over the links that it opened, so that each can tell whether its own
- * frames get through. A link that fails or times out is reopened by the side that opened it. Frames
- * to a member without a link, or whose send buffer is full, are dropped; the protocols above
- * tolerate the loss.
+ * frames get through. A link that fails or times out is reopened by the side that opened it.
+ *
+ * <p>Frames to a member without a link are dropped; the protocols above tolerate the loss. While a
+ * link is up, no frame on it is dropped: frames that the peer is slow to take wait in order. A link
+ * with too many bytes waiting is closed, so that a peer never receives frames with gaps in between.
  */
 public final class MemberLinks implements AutoCloseable {
 
+  /** Name of the metric that tells how often a link's send buffer has become full. */
+  public static final String CONGESTIONS_METRIC = "links.congestions";
+
   private static final FluentLogger logger = FluentLogger.forEnclosingClass();
   private static final int CONNECT_TIMEOUT_MILLIS = 500;
   private static final long REDIAL_MILLIS = 200;
 
+  /** Bytes waiting on a link above which it is closed; several times the size of a snapshot. */
+  private static final long MAX_WAITING_BYTES = 24L << 20;
+
   private final HelloProto hello;
   private final FrameListener listener;
   private final Optional<TlsKeys> tls;
@@ -54,6 +63,7 @@
   private final Set<String> nodes = ConcurrentHashMap.newKeySet();
   private final Map<String, Channel> openedByNode = new ConcurrentHashMap<>();
   private final Map<String, Channel> acceptedByNode = new ConcurrentHashMap<>();
+  private final LongAdder congestions = new LongAdder();
   private volatile boolean started;
   private volatile boolean closed;
 
@@ -116,7 +126,7 @@
         .childHandler(
             new LinkInitializer(
                 tls.map(TlsKeys::serverContext),
-                () -> new LinkHandler(hello, listener, this::onAccepted)))
+                () -> new LinkHandler(hello, listener, this::onAccepted, congestions::increment)))
         .bind(host, port)
         .syncUninterruptibly();
     startDialing();
@@ -136,15 +146,27 @@
     }
   }
 
-  /** Sends a frame; drops it and returns false if there is no link or its send buffer is full. */
+  /** Sends a frame; drops it and returns false if there is no link. */
   public boolean send(String node, FrameProto frame) {
     Channel accepted = configuredNodes.contains(node) ? null : acceptedByNode.get(node);
     Channel channel = openedByNode.getOrDefault(node, accepted);
-    boolean open = channel != null && channel.isWritable();
-    if (open) {
-      channel.writeAndFlush(frame, channel.voidPromise());
+    if (channel == null || !channel.isActive()) {
+      return false;
     }
-    return open;
+    if (channel.bytesBeforeWritable() > MAX_WAITING_BYTES) {
+      logger.atWarning().log(
+          "link-closed reason=too-many-bytes-waiting peer=%s bytes=%d",
+          node, channel.bytesBeforeWritable());
+      channel.close();
+      return false;
+    }
+    channel.writeAndFlush(frame, channel.voidPromise());
+    return true;
+  }
+
+  /** Returns how often a link's send buffer has become full. */
+  public long congestions() {
+    return congestions.sum();
   }
 
   /** Returns, for each other member by node name, whether a link to it is up. */
@@ -193,7 +215,10 @@
                     openedTls,
                     () ->
                         new LinkHandler(
-                            hello, listener, (peer, channel) -> onOpened(address, peer, channel))))
+                            hello,
+                            listener,
+                            (peer, channel) -> onOpened(address, peer, channel),
+                            congestions::increment)))
             .connect(address.host(), address.port());
     connecting.channel().closeFuture().addListener(future -> redial(address));
   }
