Fence starts on a restarted worker that has not announced its restart

Cause: a start names the worker and not its incarnation. A renewal's answer tells of the later incarnation before its first heartbeat does, but nothing was ordered there, so that an unanswered start was executed seconds after its run had been given up. And the lease of the start was taken for a bound on a later incarnation, whose clock starts anew.

--- a/core/src/main/java/org/plantainknot/core/schedule/ActionQueue.java
+++ b/core/src/main/java/org/plantainknot/core/schedule/ActionQueue.java
@@ -67,7 +67,7 @@
 
   private void start(TrackedRun run, WorkerTarget target, WorkerSession session, long nowMillis) {
     run.orderSent(nowMillis);
-    run.startSent();
+    run.startSent(nowMillis);
     String payload =
         ledger.job(run.id().task().job()).map(job -> job.spec().payload()).orElseThrow();
     StepId step = run.id().task().stepId();
--- a/core/src/main/java/org/plantainknot/core/schedule/Dispatcher.java
+++ b/core/src/main/java/org/plantainknot/core/schedule/Dispatcher.java
@@ -144,6 +144,7 @@
     session.renewDone(nowMillis);
     if (report.bornMillis() != target.life().bornMillis()) {
       session.markRestarted(nowMillis);
+      directory.recordRestart(new WorkerIncarnation(target.life().worker(), report.bornMillis()));
       return;
     }
     if (!session.recordReport(report, sentAtMillis, nowMillis)) {
--- a/core/src/main/java/org/plantainknot/core/schedule/WorkerDirectory.java
+++ b/core/src/main/java/org/plantainknot/core/schedule/WorkerDirectory.java
@@ -42,6 +42,18 @@
     return true;
   }
 
+  /**
+   * Records an incarnation of a known worker that has answered a call and sent no heartbeat yet. It
+   * gets no work until its heartbeat tells what it can run.
+   */
+  void recordRestart(WorkerIncarnation restarted) {
+    WorkerHeartbeat known = heartbeats.get(restarted.worker());
+    if (known != null && known.life().isEarlierThan(restarted)) {
+      heartbeats.put(restarted.worker(), known.restartedAs(restarted));
+      latestBornMillisByAddress.merge(known.address(), restarted.bornMillis(), Math::max);
+    }
+  }
+
   /** Records that a worker is leaving now. */
   public void recordDeparture(String worker, long nowMillis) {
     leftAtMillis.put(worker, nowMillis);
--- a/core/src/main/java/org/plantainknot/core/schedule/WorkerHeartbeat.java
+++ b/core/src/main/java/org/plantainknot/core/schedule/WorkerHeartbeat.java
@@ -50,13 +50,22 @@
 
   /** Returns a copy with another phase. */
   public WorkerHeartbeat withPhase(WorkerPhase changed) {
+    return copy(life, sequence, changed);
+  }
+
+  /** Returns a copy for a later incarnation that is known to run but has sent no heartbeat yet. */
+  WorkerHeartbeat restartedAs(WorkerIncarnation later) {
+    return copy(later, Long.MIN_VALUE, WorkerPhase.RESTARTED);
+  }
+
+  private WorkerHeartbeat copy(WorkerIncarnation newLife, long newSequence, WorkerPhase newPhase) {
     return new WorkerHeartbeat(
-        life,
-        sequence,
+        newLife,
+        newSequence,
         service,
         address,
         dataCenter,
-        changed,
+        newPhase,
         remainingMillis,
         capacity,
         labels,
