Undo all counts of a gang that doesn't fit

Cause: Slot.release gave back the room of a task, but not the counts by step, persistent, filling and latency-bound tasks, so that a gang that found no room for all its tasks kept its places below maxPerWorker and its weight in the score for the rest of the round.

Change: one count method serves allocation and release.

--- a/core/src/main/java/org/plantainknot/core/schedule/Planner.java
+++ b/core/src/main/java/org/plantainknot/core/schedule/Planner.java
@@ -244,7 +244,10 @@
       placed.add(new Assignment(new RunId(task.id(), nextRun(group, task)), slot.worker().life()));
     }
     if (group.spec().gang() && placed.size() < group.waiting().size()) {
-      used.forEach(slot -> slot.release(group.waiting().get(0).step()));
+      for (int i = 0; i < used.size(); i++) {
+        Task task = group.waiting().get(i);
+        used.get(i).release(task.id(), task.step());
+      }
       return List.of();
     }
     placed.forEach(
--- a/core/src/main/java/org/plantainknot/core/schedule/Slot.java
+++ b/core/src/main/java/org/plantainknot/core/schedule/Slot.java
@@ -42,24 +42,29 @@
 
   void allocate(TaskId task, StepSpec step) {
     free = free.minus(step.reserved());
-    tasksByStep.merge(task.stepId(), 1, Integer::sum);
-    tasks++;
+    count(task.stepId(), step, 1);
+  }
+
+  /** Undoes {@link #allocate}. */
+  void release(TaskId task, StepSpec step) {
+    free = free.plus(step.reserved());
+    count(task.stepId(), step, -1);
+  }
+
+  private void count(StepId id, StepSpec step, int change) {
+    tasksByStep.merge(id, change, Integer::sum);
+    tasks += change;
     if (step.persistent()) {
-      persistentTasks++;
-      persistentMilliCores += step.reserved().milliCores();
+      persistentTasks += change;
+      persistentMilliCores += change * step.reserved().milliCores();
     }
     if (step.fills()) {
-      fillerTasks++;
+      fillerTasks += change;
     } else if (step.targetMillis() > 0) {
-      latencyBoundTasks++;
+      latencyBoundTasks += change;
     }
   }
 
-  void release(StepSpec step) {
-    free = free.plus(step.reserved());
-    tasks--;
-  }
-
   boolean fits(StepId id, StepSpec step) {
     boolean full = !step.reserved().fitsInto(free);
     if (full || (onProbation && tasks > 0)) {
--- a/core/src/test/java/org/plantainknot/core/schedule/PlannerTest.java
+++ b/core/src/test/java/org/plantainknot/core/schedule/PlannerTest.java
@@ -84,6 +84,17 @@
     assertEquals(leader.planner.plan(leader.nowMillis, leader.nowMillis), List.of());
   }
 
+  @Test
+  void aGangThatDoesNotFitLeavesItsPlacesToTheNextJob() {
+    leader.addWorker("w1", "busy");
+    StepSpec gang = LeaderFixture.step(3, 8_000).estimateMillis(TASK_MILLIS).gang(true).build();
+    leader.submit("gang", "busy", gang);
+    leader.nowMillis++;
+    StepSpec filling = LeaderFixture.step(2, 4_000).estimateMillis(TASK_MILLIS).build();
+    leader.submit("other", "busy", filling);
+    assertEquals(jobs(leader.planAndAssign()), List.of("other", "other"));
+  }
+
   private static StepSpec wholeWorker() {
     return LeaderFixture.step(1, 16_000).estimateMillis(TASK_MILLIS).build();
   }
