Learn durations from the start's acceptance to the end's first report

Cause: a learned duration ended with the commit of the run's end, so that after slow commits work that can be in time counted as late.

Change: a run records when its start was accepted and when its end was listed first; only these two make a sample.

--- a/core/src/main/java/org/plantainknot/core/schedule/Dispatcher.java
+++ b/core/src/main/java/org/plantainknot/core/schedule/Dispatcher.java
@@ -151,6 +151,7 @@
       return;
     }
     report.running().forEach(listed -> onListedRunning(target, listed, nowMillis));
+    report.ended().forEach(listed -> onListedEnd(listed, nowMillis));
     endProposer.proposeNew(session, report, nowMillis);
     resolveUnlistedRuns(session, sentAtMillis, nowMillis);
   }
@@ -181,7 +182,10 @@
     }
     WorkerSession session = session(target.life());
     switch (outcome) {
-      case ACCEPTED -> run.enter(Phase.RUNNING, nowMillis);
+      case ACCEPTED -> {
+        run.startAccepted(nowMillis);
+        run.enter(Phase.RUNNING, nowMillis);
+      }
       case OLD -> run.enter(Phase.STOPPED, nowMillis);
       case OTHER_LIFE -> session.markEnded();
       case NO_TICKET -> {
@@ -382,7 +386,7 @@
     for (RunEnd end : note.ends()) {
       TrackedRun run = runs.remove(end.run());
       if (run != null) {
-        durationRecorder.record(run, end, nowMillis);
+        durationRecorder.record(run, end);
       }
       if (end.kind() == EndKind.DONE) {
         session.runDone();
@@ -412,6 +416,13 @@
     }
   }
 
+  private void onListedEnd(ListedEnd listed, long nowMillis) {
+    TrackedRun run = runs.find(listed.end().run());
+    if (run != null) {
+      run.endListed(nowMillis);
+    }
+  }
+
   /** Resolves runs assigned to the worker that are missing from its report. */
   private void resolveUnlistedRuns(WorkerSession session, long sentAtMillis, long nowMillis) {
     List<TrackedRun> neverStarted = new ArrayList<>();
--- a/core/src/main/java/org/plantainknot/core/schedule/DurationRecorder.java
+++ b/core/src/main/java/org/plantainknot/core/schedule/DurationRecorder.java
@@ -17,19 +17,18 @@
   }
 
   /**
-   * Records the duration of a run that has ended now. Skips later runs, which may have resumed from
-   * a checkpoint, and adopted runs, whose start is unknown.
+   * Records how long a completed run was executed, without the time that its assignment and its end
+   * took to commit. Skips later runs, which may have resumed from a checkpoint, and runs that
+   * another leader started.
    */
-  void record(TrackedRun run, RunEnd end, long nowMillis) {
-    boolean measurable =
-        end.kind() == EndKind.DONE && end.run().run() == 1 && run.isObservedFromStart();
-    if (measurable) {
-      ledger.job(end.run().task().job()).ifPresent(job -> record(run, job, nowMillis));
+  void record(TrackedRun run, RunEnd end) {
+    if (end.kind() == EndKind.DONE && end.run().run() == 1) {
+      ledger.job(end.run().task().job()).ifPresent(job -> record(run, job));
     }
   }
 
-  private void record(TrackedRun run, Job job, long nowMillis) {
+  private void record(TrackedRun run, Job job) {
     estimator.addSample(
-        job.spec().queue(), run.task().step().estimateMillis(), nowMillis - run.createdAtMillis());
+        job.spec().queue(), run.task().step().estimateMillis(), run.executionMillis());
   }
 }
--- a/core/src/main/java/org/plantainknot/core/schedule/TrackedRun.java
+++ b/core/src/main/java/org/plantainknot/core/schedule/TrackedRun.java
@@ -27,8 +27,6 @@
 
   private final Task task;
   private final RunId id;
-  private final long createdAtMillis;
-  private final boolean adopted;
   private WorkerIncarnation incarnation;
   private Phase phase;
   private long phaseAtMillis;
@@ -36,6 +34,8 @@
   private boolean awaitingAnswer;
   private long answeredAtMillis;
   private int attempts;
+  private long acceptedAtMillis;
+  private long endListedAtMillis;
   private int unresolvedStarts;
   private long startSentAtMillis;
   private double percent;
@@ -47,8 +47,6 @@
     this.incarnation = incarnation;
     this.phase = phase;
     this.phaseAtMillis = nowMillis;
-    this.createdAtMillis = nowMillis;
-    this.adopted = phase == Phase.ADOPTED;
     this.progressAtMillis = nowMillis;
     this.unresolvedStarts = phase == Phase.ADOPTED ? 1 : 0;
   }
@@ -65,14 +63,22 @@
     return incarnation;
   }
 
-  /** Returns whether this leader assigned the run itself, and so observed it from its start. */
-  boolean isObservedFromStart() {
-    return !adopted;
+  /** Records that the worker accepted the start order, which this leader sent. */
+  void startAccepted(long nowMillis) {
+    acceptedAtMillis = nowMillis;
   }
 
-  /** Returns when this leader began to track the run. */
-  long createdAtMillis() {
-    return createdAtMillis;
+  /** Records that the worker lists the run's end, whether or not it did so before. */
+  void endListed(long nowMillis) {
+    if (endListedAtMillis == 0) {
+      endListedAtMillis = nowMillis;
+    }
+  }
+
+  /** Returns how long the worker executed the run, or 0 if this leader didn't see both ends. */
+  long executionMillis() {
+    boolean observed = acceptedAtMillis > 0 && endListedAtMillis > acceptedAtMillis;
+    return observed ? endListedAtMillis - acceptedAtMillis : 0;
   }
 
   /** Moves the run to a later incarnation of its worker, which accepted the start. */
