Answer calls and replies that can't be decoded, in place of halting

Cause: a call, a reply or a forwarded heartbeat that can't be decoded (a process of another build, a damaged body) threw on the control thread, which halts the process; the sender would then send the same call to the next leader and halt that too.

Change: such a call is answered as invalid, such a reply counts as outcome unknown, such a heartbeat is ignored; each with a log line.

--- a/daemon/src/main/java/org/plantainknot/daemon/controller/CallHandler.java
+++ b/daemon/src/main/java/org/plantainknot/daemon/controller/CallHandler.java
@@ -2,14 +2,15 @@
 
 import com.google.common.flogger.FluentLogger;
 import com.google.protobuf.ByteString;
+import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
 import org.plantainknot.core.call.Reply;
 import org.plantainknot.core.call.Request;
+import org.plantainknot.core.error.PlantainknotException;
 import org.plantainknot.core.schedule.WorkerDirectory;
 import org.plantainknot.core.schedule.WorkerHeartbeat;
 import org.plantainknot.daemon.control.Clock;
 import org.plantainknot.daemon.control.StateCodec;
-import org.plantainknot.daemon.settings.ClusterSettings;
 import org.plantainknot.wire.member.CallProto;
 import org.plantainknot.wire.member.CallReplyProto;
 import org.plantainknot.wire.member.FrameProto;
@@ -26,51 +27,63 @@
 
   private static final FluentLogger logger = FluentLogger.forEnclosingClass();
 
-  private final JobStateMachine stateMachine;
+  private final BooleanSupplier acceptsRequests;
   private final WorkerDirectory directory;
   private final RequestProcessor requestProcessor;
-  private final ClusterSettings settings;
+  private final String heartbeatAddress;
   private final Consumer<FrameProto> broadcaster;
 
   /**
    * Creates the handler.
    *
+   * @param acceptsRequests returns whether this member serves as leader and accepts requests
+   * @param heartbeatAddress address at which this member receives heartbeats, or an empty string
    * @param broadcaster sends a frame to all other controllers
    */
   CallHandler(
-      JobStateMachine stateMachine,
+      BooleanSupplier acceptsRequests,
       WorkerDirectory directory,
       RequestProcessor requestProcessor,
-      ClusterSettings settings,
+      String heartbeatAddress,
       Consumer<FrameProto> broadcaster) {
-    this.stateMachine = stateMachine;
+    this.acceptsRequests = acceptsRequests;
     this.directory = directory;
     this.requestProcessor = requestProcessor;
-    this.settings = settings;
+    this.heartbeatAddress = heartbeatAddress;
     this.broadcaster = broadcaster;
   }
 
-  /** Handles a call; the reply frame is sent immediately or once the reply is available. */
+  /**
+   * Handles a call; the reply frame is sent immediately or once the reply is available. A call that
+   * can't be decoded, as from a process of another build, is answered as invalid.
+   */
   void handle(CallProto call, Consumer<FrameProto> sender) {
     CallReplyProto.Builder reply = CallReplyProto.newBuilder().setCallId(call.getCallId());
-    if (!stateMachine.acceptsRequests()) {
+    if (!acceptsRequests.getAsBoolean()) {
       sender.accept(FrameProto.newBuilder().setCallReply(reply).build());
       return;
     }
-    Request request = StateCodec.read(call.getBody().toByteArray(), Request.class);
-    handle(
-        request,
+    Consumer<Reply> answer =
         result ->
             sender.accept(
                 FrameProto.newBuilder()
                     .setCallReply(reply.setBody(ByteString.copyFrom(StateCodec.write(result))))
-                    .build()));
+                    .build());
+    Request request;
+    try {
+      request = StateCodec.read(call.getBody().toByteArray(), Request.class);
+    } catch (PlantainknotException e) {
+      logger.atWarning().log("call-invalid bytes=%d cause=%s", call.getBody().size(), e);
+      answer.accept(new Reply.Invalid("the request can't be decoded"));
+      return;
+    }
+    handle(request, answer);
   }
 
   private void handle(Request request, Consumer<Reply> answer) {
     if (request instanceof Request.Heartbeat heartbeat) {
       onHeartbeat(heartbeat.heartbeat());
-      answer.accept(new Reply.HeartbeatTaken(settings.controlAddress().orElse("")));
+      answer.accept(new Reply.HeartbeatTaken(heartbeatAddress));
     } else if (request instanceof Request.Leave leave) {
       logger.atInfo().log("worker-left worker=%s", leave.worker());
       directory.recordDeparture(leave.worker(), Clock.nowMillis());
@@ -80,10 +93,14 @@
     }
   }
 
-  /** Handles a heartbeat that the leader has forwarded. */
+  /** Handles a heartbeat that the leader has forwarded; ignores one that can't be decoded. */
   void onForwardedHeartbeat(WorkerHeartbeatProto proto) {
-    directory.recordHeartbeat(
-        StateCodec.read(proto.getBody().toByteArray(), WorkerHeartbeat.class), Clock.nowMillis());
+    try {
+      directory.recordHeartbeat(
+          StateCodec.read(proto.getBody().toByteArray(), WorkerHeartbeat.class), Clock.nowMillis());
+    } catch (PlantainknotException e) {
+      logger.atWarning().log("forwarded-heartbeat-invalid cause=%s", e);
+    }
   }
 
   private void onHeartbeat(WorkerHeartbeat heartbeat) {
--- a/daemon/src/main/java/org/plantainknot/daemon/leader/LeaderClient.java
+++ b/daemon/src/main/java/org/plantainknot/daemon/leader/LeaderClient.java
@@ -15,6 +15,7 @@
 import org.plantainknot.core.call.Reply;
 import org.plantainknot.core.call.Request;
 import org.plantainknot.core.call.RequestHandler;
+import org.plantainknot.core.error.PlantainknotException;
 import org.plantainknot.daemon.control.Clock;
 import org.plantainknot.daemon.control.StateCodec;
 import org.plantainknot.wire.member.CallProto;
@@ -184,6 +185,7 @@
    * Handles the reply to a call.
    *
    * <p>A reply without a body means that the receiver didn't lead and has not executed the request.
+   * A reply that can't be decoded says nothing about the outcome.
    */
   public void onReply(CallReplyProto proto) {
     Pending pending;
@@ -199,7 +201,16 @@
       }
       pendingById.remove(proto.getCallId());
     }
-    pending.reply.complete(StateCodec.read(proto.getBody().toByteArray(), Reply.class));
+    pending.reply.complete(decode(proto));
+  }
+
+  private static Reply decode(CallReplyProto proto) {
+    try {
+      return StateCodec.read(proto.getBody().toByteArray(), Reply.class);
+    } catch (PlantainknotException e) {
+      logger.atWarning().log("reply-invalid bytes=%d cause=%s", proto.getBody().size(), e);
+      return new Reply.OutcomeUnknown();
+    }
   }
 
   /** Resends pending requests and gives up expired ones. */
--- a/daemon/src/test/java/org/plantainknot/daemon/leader/LeaderClientTest.java
+++ b/daemon/src/test/java/org/plantainknot/daemon/leader/LeaderClientTest.java
@@ -68,6 +68,16 @@
     assertTrue(reply.join() instanceof Reply.OutcomeUnknown);
   }
 
+  @Test
+  void aReplyThatCannotBeDecodedIsAnsweredAsOutcomeUnknown() {
+    client.updateLeader(new LeaderView("c1", 1, ""));
+    CompletableFuture<Reply> reply = call(10_000);
+    long callId = frames.get(0).getCall().getCallId();
+    ByteString malformed = ByteString.copyFromUtf8("malformed");
+    client.onReply(CallReplyProto.newBuilder().setCallId(callId).setBody(malformed).build());
+    assertTrue(reply.join() instanceof Reply.OutcomeUnknown);
+  }
+
   @Test
   void announcementsOfAnEarlierTermAreIgnored() {
     client.updateLeader(new LeaderView("c2", 2, ""));
