Plan with the room of those services only whose work waits

Cause: a planning round built the room of all workers and went through all runs, though in a turn one or two of five services have work that waits; a round pauses planning for four times its own duration.

Change: rooms are built for services with waiting work, from the index of runs by worker.

Ruled out: keeping rooms between rounds; sessions, probation and reservations change them without a command.

--- a/core/src/main/java/org/plantainknot/core/schedule/Dispatcher.java
+++ b/core/src/main/java/org/plantainknot/core/schedule/Dispatcher.java
@@ -1,8 +1,8 @@
 package org.plantainknot.core.schedule;
 
 import java.util.ArrayList;
-import java.util.Collection;
 import java.util.List;
+import java.util.function.Consumer;
 import org.plantainknot.core.job.Assignment;
 import org.plantainknot.core.job.EndKind;
 import org.plantainknot.core.job.JobCommand;
@@ -76,16 +76,16 @@
     return actionQueue.drain();
   }
 
-  /** Returns the runs that may be running. */
-  Collection<TrackedRun> runs() {
-    return runs.all();
-  }
-
   /** Returns the runs that may be running on an incarnation of a worker. */
   List<TrackedRun> runsOn(WorkerIncarnation incarnation) {
     return runs.on(incarnation);
   }
 
+  /** Calls the consumer with each run that may be running on an incarnation of a worker. */
+  void forEachRunOn(WorkerIncarnation incarnation, Consumer<TrackedRun> consumer) {
+    runs.forEachOn(incarnation, consumer);
+  }
+
   /** Returns whether any run may be running on an incarnation of a worker. */
   boolean hasRunsOn(WorkerIncarnation incarnation) {
     return runs.hasRunsOn(incarnation);
--- a/core/src/main/java/org/plantainknot/core/schedule/Planner.java
+++ b/core/src/main/java/org/plantainknot/core/schedule/Planner.java
@@ -77,7 +77,9 @@
     if (groups.isEmpty()) {
       return List.of();
     }
-    Map<String, List<Slot>> slotsByService = slots(nowMillis);
+    Set<String> services = new HashSet<>();
+    groups.forEach(group -> services.add(group.job().service()));
+    Map<String, List<Slot>> slotsByService = slots(services, nowMillis);
     List<Assignment> planned = new ArrayList<>();
     for (Group group : groups) {
       List<Slot> slots = slotsByService.getOrDefault(group.job().service(), List.of());
@@ -202,26 +204,24 @@
     return new Rank(urgency, queue.priority(), deadlineMillis);
   }
 
-  private Map<String, List<Slot>> slots(long nowMillis) {
+  /** Returns the capacity of the usable workers of some services. */
+  private Map<String, List<Slot>> slots(Set<String> services, long nowMillis) {
     Map<String, Slot> slotByWorker = new HashMap<>();
     Map<String, List<Slot>> slotsByService = new HashMap<>();
     for (WorkerHeartbeat worker : directory.all()) {
       boolean usable =
-          dispatcher.isUsable(worker, nowMillis)
+          services.contains(worker.service())
+              && dispatcher.isUsable(worker, nowMillis)
               && !reservedWorkers.contains(worker.life().worker());
       if (usable) {
         WorkerSession session = dispatcher.session(worker.life());
         Slot slot = new Slot(worker, session.isOnProbation());
+        dispatcher.forEachRunOn(
+            worker.life(), run -> slot.allocate(run.task().id(), run.task().step()));
         slotByWorker.put(worker.life().worker(), slot);
         slotsByService.computeIfAbsent(worker.service(), s -> new ArrayList<>()).add(slot);
       }
     }
-    for (TrackedRun run : dispatcher.runs()) {
-      Slot slot = slotByWorker.get(run.incarnation().worker());
-      if (slot != null && slot.worker().life().equals(run.incarnation())) {
-        slot.allocate(run.task().id(), run.task().step());
-      }
-    }
     for (Proposal proposal : proposals.values()) {
       Slot slot = slotByWorker.get(proposal.assignment().worker().worker());
       if (slot != null) {
--- a/core/src/main/java/org/plantainknot/core/schedule/RunTable.java
+++ b/core/src/main/java/org/plantainknot/core/schedule/RunTable.java
@@ -1,11 +1,11 @@
 package org.plantainknot.core.schedule;
 
-import java.util.Collection;
 import java.util.LinkedHashMap;
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.function.Consumer;
 import org.plantainknot.core.job.RunId;
 import org.plantainknot.core.job.WorkerIncarnation;
 
@@ -43,10 +43,6 @@
     return runs.get(id);
   }
 
-  Collection<TrackedRun> all() {
-    return runs.values();
-  }
-
   /** Returns a copy of the incarnations that have runs. */
   List<WorkerIncarnation> incarnations() {
     return List.copyOf(runsByIncarnation.keySet());
@@ -57,6 +53,10 @@
     return List.copyOf(runsByIncarnation.getOrDefault(incarnation, Set.of()));
   }
 
+  void forEachOn(WorkerIncarnation incarnation, Consumer<TrackedRun> consumer) {
+    runsByIncarnation.getOrDefault(incarnation, Set.of()).forEach(consumer);
+  }
+
   boolean hasRunsOn(WorkerIncarnation incarnation) {
     return runsByIncarnation.containsKey(incarnation);
   }
