Format log lines without the locale data of a formatter

Cause: the formatter of the runtime parses a format and loads locale data for each process's first line.

--- a/daemon/src/main/java/org/plantainknot/daemon/PlantainknotDaemon.java
+++ b/daemon/src/main/java/org/plantainknot/daemon/PlantainknotDaemon.java
@@ -128,8 +128,6 @@
   }
 
   private static void configureLogging() {
-    System.setProperty(
-        "java.util.logging.SimpleFormatter.format", "time=%1$tFT%1$tT.%1$tL level=%4$s %5$s%6$s%n");
     try (InputStream defaults =
         PlantainknotDaemon.class.getResourceAsStream("/logging.properties")) {
       LogManager.getLogManager().readConfiguration(defaults);
--- a/daemon/src/main/java/org/plantainknot/daemon/log/BoundedLogHandler.java
+++ b/daemon/src/main/java/org/plantainknot/daemon/log/BoundedLogHandler.java
@@ -9,7 +9,6 @@
 import java.util.logging.Handler;
 import java.util.logging.Level;
 import java.util.logging.LogRecord;
-import java.util.logging.SimpleFormatter;
 
 /**
  * Log handler that writes to standard output on its own thread.
@@ -38,7 +37,7 @@
 
   BoundedLogHandler(PrintStream out) {
     this.out = out;
-    setFormatter(new SimpleFormatter());
+    setFormatter(new LineFormatter());
     Thread writer = new Thread(this::write, "log");
     writer.setDaemon(true);
     writer.start();
