--- a/core/src/main/java/org/plantainknot/core/schedule/HeartbeatFilter.java
+++ b/core/src/main/java/org/plantainknot/core/schedule/HeartbeatFilter.java
@@ -30,6 +30,11 @@
     return due;
   }
 
+  /** Passes the next heartbeat of each worker, since a controller may have missed earlier ones. */
+  public void reset() {
+    forwardedByWorker.clear();
+  }
+
   /** Forgets workers of which no heartbeat was passed on for as long as a directory keeps them. */
   public void removeExpired(long nowMillis) {
     forwardedByWorker
--- a/core/src/test/java/org/plantainknot/core/schedule/HeartbeatFilterTest.java
+++ b/core/src/test/java/org/plantainknot/core/schedule/HeartbeatFilterTest.java
@@ -44,6 +44,13 @@
     assertTrue(filter.pass(heartbeat("w", 1, WorkerPhase.READY, 2), 3));
   }
 
+  @Test
+  void aControllerThatWasLinkedLaterLearnsAllWorkersWithTheirNextHeartbeats() {
+    assertTrue(filter.pass(heartbeat("w", 1, WorkerPhase.READY, 1), 0));
+    filter.reset();
+    assertTrue(filter.pass(heartbeat("w", 2, WorkerPhase.READY, 1), 1));
+  }
+
   private static WorkerHeartbeat heartbeat(
       String worker, long sequence, WorkerPhase phase, long bornMillis) {
     return new WorkerHeartbeat(
--- a/daemon/src/main/java/org/plantainknot/daemon/controller/CallHandler.java
+++ b/daemon/src/main/java/org/plantainknot/daemon/controller/CallHandler.java
@@ -55,6 +55,11 @@
     this.broadcaster = broadcaster;
   }
 
+  /** Handles that a controller is linked, which may have started or missed heartbeats. */
+  void onControllerLinked() {
+    heartbeatFilter.reset();
+  }
+
   /** Does the periodic work; called at intervals of at most some seconds. */
   void tick(long nowMillis) {
     heartbeatFilter.removeExpired(nowMillis);
--- a/daemon/src/main/java/org/plantainknot/daemon/controller/ControllerNode.java
+++ b/daemon/src/main/java/org/plantainknot/daemon/controller/ControllerNode.java
@@ -187,6 +187,7 @@
         () -> {
           if (!address.isEmpty()) {
             announcer.controllerSeen(peer.node(), address);
+            callHandler.onControllerLinked();
             replica.addPeer(peer);
             voterChange.addPeer(peer);
             formation.memberSeen(address, peer);
