--- a/core/src/main/java/org/plantainknot/core/job/JobLedger.java
+++ b/core/src/main/java/org/plantainknot/core/job/JobLedger.java
@@ -48,6 +48,7 @@
    * @param lastEnds sequence number of the last recorded end of each worker incarnation
    * @param waves all waves
    * @param orders pending machine orders
+   * @param orderTimes times of the latest orders for machines, or null if they are unknown
    */
   public record Image(
       long clockMillis,
@@ -55,7 +56,8 @@
       List<Job.Image> jobs,
       List<LastEnd> lastEnds,
       List<WaveProgress.Image> waves,
-      List<MachineOrder> orders) {}
+      List<MachineOrder> orders,
+      List<OrderTime> orderTimes) {}
 
   /**
    * Sequence number of the last recorded end of a worker incarnation.
@@ -71,6 +73,7 @@
   private final Map<WorkerIncarnation, Long> lastEnds = new HashMap<>();
   private final Map<Long, WaveProgress> waves = new TreeMap<>();
   private final Map<String, MachineOrder> orders = new TreeMap<>();
+  private final OrderLog orderLog = new OrderLog();
   private FleetConfig config = FleetConfig.NONE;
   private QueueTable queues = new QueueTable(FleetConfig.NONE);
   private long clockMillis;
@@ -131,6 +134,17 @@
     return orders.values();
   }
 
+  /**
+   * Returns when each machine was last ordered, on the log's clock, or empty if orders of the
+   * latest minute may be missing. A machine that is not listed was not ordered within a minute
+   * before the latest snapshot, nor since.
+   */
+  public Optional<Map<String, Long>> orderTimes() {
+    return orderLog.isComplete(clockMillis)
+        ? Optional.of(orderLog.atMillisByMachine())
+        : Optional.empty();
+  }
+
   /** Returns the number of accepted jobs of a queue of which no task has started. */
   public long countQueuedJobs(String queue) {
     return openJobs.stream()
@@ -161,8 +175,10 @@
     } else if (command instanceof StartWave start) {
       return startWave(start.wave());
     } else if (command instanceof OrderMachine order) {
+      orderLog.record(order.order().machine(), clockMillis);
       return recordOrder(order.order());
     } else if (command instanceof SettleMachine settle) {
+      orderLog.record(settle.order().machine(), clockMillis);
       resolveOrder(settle.order(), settle.carriedOut());
     }
     return Applied.CHANGED;
@@ -176,7 +192,8 @@
         jobs.values().stream().map(Job::image).toList(),
         lastEnds.entrySet().stream().map(e -> new LastEnd(e.getKey(), e.getValue())).toList(),
         waves.values().stream().map(WaveProgress::image).toList(),
-        List.copyOf(orders.values()));
+        List.copyOf(orders.values()),
+        orderLog.image(clockMillis));
   }
 
   /** Replaces the state with that of a snapshot. */
@@ -194,6 +211,7 @@
     image.lastEnds().forEach(last -> lastEnds.put(last.worker(), last.number()));
     image.waves().forEach(wave -> waves.put(wave.wave().number(), WaveProgress.restore(wave)));
     image.orders().forEach(order -> orders.put(order.machine(), order));
+    orderLog.restore(image.orderTimes(), image.clockMillis());
   }
 
   private void add(Job job) {
--- a/core/src/main/java/org/plantainknot/core/schedule/MachineOrderTimes.java
+++ b/core/src/main/java/org/plantainknot/core/schedule/MachineOrderTimes.java
@@ -25,16 +25,25 @@
   private long unknownOrdersAtMillis = NEVER_MILLIS;
 
   /**
-   * Resets the times after a snapshot replaced the replicated job state; a snapshot does not
-   * contain the times of its orders.
+   * Resets the times after a snapshot replaced the replicated job state. If the snapshot doesn't
+   * tell the times of its orders, each machine may have been ordered at the end of it.
    *
-   * @param stampMillis wall-clock time of the last entry that the snapshot holds
+   * @param ledger replicated job state as of the snapshot
    * @param wallMillis current wall-clock time
    * @param nowMillis monotonic time
    */
-  public void restored(long stampMillis, long wallMillis, long nowMillis) {
+  public void restored(JobLedger ledger, long wallMillis, long nowMillis) {
     orderedAtMillis.clear();
-    unknownOrdersAtMillis = nowMillis - ageMillis(stampMillis, wallMillis);
+    unknownOrdersAtMillis = NEVER_MILLIS;
+    ledger
+        .orderTimes()
+        .ifPresentOrElse(
+            times ->
+                times.forEach(
+                    (machine, stampMillis) ->
+                        orderedAtMillis.put(
+                            machine, nowMillis - ageMillis(stampMillis, wallMillis))),
+            () -> unknownOrdersAtMillis = nowMillis - ageMillis(ledger.clockMillis(), wallMillis));
   }
 
   /**
--- a/core/src/test/java/org/plantainknot/core/schedule/MachineOrderTimesTest.java
+++ b/core/src/test/java/org/plantainknot/core/schedule/MachineOrderTimesTest.java
@@ -41,20 +41,62 @@
   }
 
   @Test
-  void onlyARecentSnapshotMakesALeaderWaitForItsMachines() {
-    MachineOrderTimes restored = new MachineOrderTimes();
-    restored.restored(WALL_MILLIS - 30_000, WALL_MILLIS, NOW_MILLIS);
-    assertTrue(isWaitOver(restored, "m4", NOW_MILLIS));
-    restored.restored(WALL_MILLIS - 1_000, WALL_MILLIS, NOW_MILLIS);
-    assertFalse(isWaitOver(restored, "m4", NOW_MILLIS));
+  void onlyARecentSnapshotWithoutOrderTimesMakesALeaderWaitForAllMachines() {
+    assertTrue(isWaitOverAfterSnapshotWithoutTimes(30_000));
+    assertFalse(isWaitOverAfterSnapshotWithoutTimes(1_000));
+  }
+
+  @Test
+  void aRecentSnapshotDelaysOnlyTheMachinesOrderedShortlyBeforeIt() {
+    JobLedger ledger = new JobLedger();
+    ledger.apply(WALL_MILLIS - 30_000, order("early"));
+    ledger.apply(WALL_MILLIS - 2_000, order("late"));
+    ledger.apply(WALL_MILLIS - 1_000, new JobCommand.Cancel("j"));
+    JobLedger restored = new JobLedger();
+    restored.restore(ledger.image());
+    times.restored(restored, WALL_MILLIS, NOW_MILLIS);
+    assertTrue(isWaitOver("never", NOW_MILLIS));
+    assertTrue(isWaitOver("early", NOW_MILLIS));
+    assertFalse(isWaitOver("late", NOW_MILLIS));
+    assertTrue(isWaitOver("late", NOW_MILLIS + WAIT_MILLIS));
+  }
+
+  @Test
+  void timesThatAnEarlierBuildLeftOutAreUnknownInLaterSnapshotsToo() {
+    JobLedger ledger = new JobLedger();
+    ledger.restore(withoutTimes(new JobLedger().image(), WALL_MILLIS - 2_000));
+    ledger.apply(WALL_MILLIS - 1_000, order("other"));
+    JobLedger restored = new JobLedger();
+    restored.restore(ledger.image());
+    times.restored(restored, WALL_MILLIS, NOW_MILLIS);
+    assertFalse(isWaitOver("m", NOW_MILLIS));
+  }
+
+  private static boolean isWaitOverAfterSnapshotWithoutTimes(long ageMillis) {
+    JobLedger ledger = new JobLedger();
+    ledger.restore(withoutTimes(ledger.image(), WALL_MILLIS - ageMillis));
+    MachineOrderTimes times = new MachineOrderTimes();
+    times.restored(ledger, WALL_MILLIS, NOW_MILLIS);
+    return isWaitOver(times, "m4", NOW_MILLIS);
+  }
+
+  private static JobLedger.Image withoutTimes(JobLedger.Image image, long clockMillis) {
+    return new JobLedger.Image(
+        clockMillis,
+        image.config(),
+        image.jobs(),
+        image.lastEnds(),
+        image.waves(),
+        image.orders(),
+        null);
+  }
+
+  private static JobCommand order(String machine) {
+    return new JobCommand.OrderMachine(new MachineOrder(machine, 0, "pool"));
   }
 
   private void replayOrder(String machine, long ageMillis) {
-    times.applied(
-        new JobCommand.OrderMachine(new MachineOrder(machine, 0, "pool")),
-        WALL_MILLIS - ageMillis,
-        WALL_MILLIS,
-        NOW_MILLIS);
+    times.applied(order(machine), WALL_MILLIS - ageMillis, WALL_MILLIS, NOW_MILLIS);
   }
 
   private boolean isWaitOver(String machine, long nowMillis) {
--- a/core/src/test/java/org/plantainknot/core/schedule/MaintainerTest.java
+++ b/core/src/test/java/org/plantainknot/core/schedule/MaintainerTest.java
@@ -75,10 +75,24 @@
       ledger.apply(0, new JobCommand.Assign(List.of(new Assignment(run, incarnation))));
     }
     orderTimes = new MachineOrderTimes();
-    orderTimes.restored(0, 0, 0);
+    restoreSnapshotWithoutOrderTimes();
     elect(1);
   }
 
+  private void restoreSnapshotWithoutOrderTimes() {
+    JobLedger.Image image = ledger.image();
+    ledger.restore(
+        new JobLedger.Image(
+            nowMillis,
+            image.config(),
+            image.jobs(),
+            image.lastEnds(),
+            image.waves(),
+            image.orders(),
+            null));
+    orderTimes.restored(ledger, nowMillis, nowMillis);
+  }
+
   private void elect(long term) {
     dispatcher = new Dispatcher(ledger, directory, TIMING, term, nowMillis);
     planner = new Planner(ledger, directory, dispatcher);
@@ -206,7 +220,7 @@
   void aNewLeaderWaitsForAllMachinesAfterARecentSnapshot() {
     startWave(1, "m9");
     nowMillis = 60_000;
-    orderTimes.restored(nowMillis, nowMillis, nowMillis);
+    restoreSnapshotWithoutOrderTimes();
     elect(2);
     assertTrue(ordered(tick()).isEmpty());
     nowMillis += TIMING.leaderWaitMillis();
--- a/daemon/src/main/java/org/plantainknot/daemon/controller/JobStateMachine.java
+++ b/daemon/src/main/java/org/plantainknot/daemon/controller/JobStateMachine.java
@@ -119,7 +119,7 @@
    */
   void restore(byte[] data, long lastIndex) {
     ledger.restore(StateCodec.read(data, JobLedger.Image.class));
-    orderTimes.restored(ledger.clockMillis(), Clock.wallMillis(), Clock.nowMillis());
+    orderTimes.restored(ledger, Clock.wallMillis(), Clock.nowMillis());
     appliedIndex = lastIndex;
   }
 
--- a/daemon/src/test/java/org/plantainknot/daemon/controller/SettledChangesTest.java
+++ b/daemon/src/test/java/org/plantainknot/daemon/controller/SettledChangesTest.java
@@ -63,7 +63,13 @@
   /** Returns the image without the time of the log, which each entry advances. */
   private static JobLedger.Image atStart(JobLedger.Image image) {
     return new JobLedger.Image(
-        0, image.config(), image.jobs(), image.lastEnds(), image.waves(), image.orders());
+        0,
+        image.config(),
+        image.jobs(),
+        image.lastEnds(),
+        image.waves(),
+        image.orders(),
+        image.orderTimes());
   }
 
   private static JobSpec spec(String id, String queue) {
