--- a/daemon/src/main/java/org/plantainknot/daemon/control/StorageWriter.java
+++ b/daemon/src/main/java/org/plantainknot/daemon/control/StorageWriter.java
@@ -24,6 +24,9 @@
   /** Time to wait for an unresponsive disk when the process stops. */
   private static final long CLOSE_TIMEOUT_MILLIS = 1_000;
 
+  /** Duration of a write and its sync from which it is logged; elections follow soon after. */
+  private static final long SLOW_WRITE_MILLIS = 500;
+
   /**
    * Task of the thread: records to append, or a snapshot of this member's state with the entries
    * after it.
@@ -92,7 +95,9 @@
         tasks.drainTo(batch);
         ended = batch.removeIf(task -> task == WriteTask.END);
         if (!batch.isEmpty()) {
+          long startMillis = Clock.nowMillis();
           writeBatch(batch);
+          logIfSlow(batch, Clock.nowMillis() - startMillis);
         }
       }
     } catch (InterruptedException e) {
@@ -103,6 +108,16 @@
     }
   }
 
+  private static void logIfSlow(List<WriteTask> batch, long tookMillis) {
+    if (tookMillis >= SLOW_WRITE_MILLIS) {
+      logger.atWarning().log(
+          "storage-slow took-ms=%d records=%d snapshot=%s",
+          tookMillis,
+          batch.stream().mapToInt(task -> task.records().size()).sum(),
+          batch.stream().anyMatch(task -> task.snapshot() != null));
+    }
+  }
+
   private void writeBatch(List<WriteTask> batch) {
     List<LogRecord> records = new ArrayList<>();
     long token = 0;
--- a/daemon/src/main/java/org/plantainknot/daemon/controller/Compactor.java
+++ b/daemon/src/main/java/org/plantainknot/daemon/controller/Compactor.java
@@ -4,6 +4,7 @@
 import java.util.concurrent.Executor;
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
+import java.util.concurrent.ThreadLocalRandom;
 import org.plantainknot.core.job.JobLedger;
 import org.plantainknot.core.replica.Replica;
 import org.plantainknot.core.replica.Snapshot;
@@ -19,7 +20,6 @@
 final class Compactor implements AutoCloseable {
 
   private static final FluentLogger logger = FluentLogger.forEnclosingClass();
-  private static final int SNAPSHOT_THRESHOLD_ENTRIES = 4_000;
 
   private final Replica replica;
   private final ReplicaDriver driver;
@@ -27,6 +27,8 @@
   private final Executor controlThread;
   private final ExecutorService encoder =
       Executors.newSingleThreadExecutor(task -> new Thread(task, "snapshot"));
+  private final SnapshotThreshold threshold =
+      new SnapshotThreshold(ThreadLocalRandom.current().nextLong());
   private boolean encoding;
 
   Compactor(Replica replica, ReplicaDriver driver, JobLedger ledger, Executor controlThread) {
@@ -38,9 +40,10 @@
 
   /** Starts a snapshot if the log is long enough and all committed entries are applied. */
   void compactIfLarge(long appliedIndex) {
-    boolean due = !encoding && replica.logSize() > SNAPSHOT_THRESHOLD_ENTRIES;
+    boolean due = !encoding && replica.logSize() > threshold.entries();
     if (due && replica.status().commitIndex() == appliedIndex) {
       encoding = true;
+      threshold.redraw();
       JobLedger.Image image = ledger.image();
       encoder.execute(() -> encode(image, appliedIndex));
     }
