Confirm a leader anew once its machine may have been suspended

Cause: a suspended machine's monotonic clock stands still. A leader that wakes after seconds takes its last contact with the majority for recent, for up to 1.2 s, though another leader may act meanwhile. Starts and renewals are fenced by its term, but an order for a machine that it sends again is carried out where the platform doesn't check fences, and ends the work that the next leader has placed there.

Change: when the wall clock has advanced 0.3 s or more over the monotonic one, a leader orders nothing until a round that it starts then is answered by a majority. A wall clock that is set forward costs it one such round, and not its term. Line: suspension-suspected.

--- a/core/src/main/java/org/plantainknot/core/replica/Leadership.java
+++ b/core/src/main/java/org/plantainknot/core/replica/Leadership.java
@@ -16,6 +16,7 @@
   private long selfSyncedIndex;
   private long round;
   private long heartbeatAtMillis;
+  private long suspectRound;
 
   Leadership(MemberId self, long syncedIndex, long nowMillis) {
     this.self = self;
@@ -88,6 +89,16 @@
     return nowMillis - contactAtMillis <= withinMillis;
   }
 
+  /** Makes the contact with the majority count only once a round that starts later is answered. */
+  void suspectContact() {
+    suspectRound = round;
+  }
+
+  /** Returns whether no round since {@link #suspectContact} has been answered by a majority. */
+  boolean isContactSuspect(Membership membership) {
+    return suspectRound > 0 && confirmedRound(membership) <= suspectRound;
+  }
+
   /** Returns whether the voters added by a change have replicated the log up to the index. */
   boolean newVotersCaughtUp(long index, Membership membership, Membership changed) {
     return changed.members().stream()
--- a/core/src/main/java/org/plantainknot/core/replica/Replica.java
+++ b/core/src/main/java/org/plantainknot/core/replica/Replica.java
@@ -199,7 +199,19 @@
    */
   public boolean hasConfirmedLeadership(long nowMillis) {
     return role == Role.LEADER
-        && leadership.hasQuorumContact(membership(), nowMillis, timing.maxElectionTimeoutMillis());
+        && !leadership.isContactSuspect(membership())
+        && hasQuorumContact(nowMillis);
+  }
+
+  /**
+   * Handles that this process may have been suspended for a time that its monotonic clock doesn't
+   * count. A leader asks its majority anew, and counts as unconfirmed until that has answered.
+   */
+  public void suspectContact(long nowMillis) {
+    if (role == Role.LEADER) {
+      leadership.suspectContact();
+      startRound(nowMillis);
+    }
   }
 
   /** Returns the current status of this member, for reporting. */
@@ -215,8 +227,12 @@
         log.lastIndex());
   }
 
+  private boolean hasQuorumContact(long nowMillis) {
+    return leadership.hasQuorumContact(membership(), nowMillis, timing.maxElectionTimeoutMillis());
+  }
+
   private void tickLeader(long nowMillis) {
-    if (!hasConfirmedLeadership(nowMillis)) {
+    if (!hasQuorumContact(nowMillis)) {
       becomeFollower(election.term(), null, nowMillis);
     } else if (leadership.isHeartbeatDue(nowMillis, timing.heartbeatMillis())) {
       startRound(nowMillis);
--- a/core/src/test/java/org/plantainknot/core/replica/ReplicaTest.java
+++ b/core/src/test/java/org/plantainknot/core/replica/ReplicaTest.java
@@ -73,6 +73,34 @@
     }
   }
 
+  @Test
+  void leaderThatMayHaveBeenSuspendedIsConfirmedOnlyByALaterRound() {
+    elect();
+    long earlierRound = replica.startRound(nowMillis);
+    confirm(earlierRound);
+    assertTrue(replica.hasConfirmedLeadership(nowMillis));
+    drainAppends();
+    replica.suspectContact(nowMillis);
+    assertFalse(replica.hasConfirmedLeadership(nowMillis), "another leader may act meanwhile");
+    confirm(earlierRound);
+    assertFalse(replica.hasConfirmedLeadership(nowMillis));
+    confirm(drainAppends().get(0).round());
+    assertTrue(replica.hasConfirmedLeadership(nowMillis));
+  }
+
+  @Test
+  void leaderThatMayHaveBeenSuspendedStepsDownIfNobodyAnswers() {
+    elect();
+    confirm(replica.startRound(nowMillis));
+    replica.suspectContact(nowMillis);
+    advanceTime(2_000);
+    assertFalse(replica.status().isLeader());
+  }
+
+  private void confirm(long round) {
+    replica.receive(PEER, new AppendReply(replica.status().term(), round, true, 0), nowMillis);
+  }
+
   @Test
   void voteReplyIsSentOnlyAfterSync() {
     replica.receive(PEER, new VoteRequest(1, 1, 0, false, false), nowMillis);
--- a/core/src/test/java/org/plantainknot/core/schedule/DispatcherTest.java
+++ b/core/src/test/java/org/plantainknot/core/schedule/DispatcherTest.java
@@ -62,6 +62,24 @@
     assertTrue(givenUpAtMillis > TIMING.leaseMillis(), "at " + givenUpAtMillis);
   }
 
+  @Test
+  void runOfAWorkerThatIsSilentForLessThanItsLeaseIsNeitherStoppedNorGivenUp() {
+    start(false);
+    reportRunning();
+    long silentUntilMillis = nowMillis + TIMING.leaseMillis() - 1_500;
+    while (nowMillis < silentUntilMillis) {
+      nowMillis += STEP_MILLIS;
+      for (Action action : tick()) {
+        assertTrue(action instanceof Action.Renew, action.toString());
+        dispatcher.renewalFailed(TARGET, CallOutcome.NO_ANSWER, nowMillis);
+      }
+    }
+    percent = 50;
+    reportRunning();
+    List<Action> actions = tick();
+    assertFalse(stops(actions) || givesUp(actions) || starts(actions), actions.toString());
+  }
+
   @Test
   void runOfADepartedUnresponsiveWorkerIsGivenUpBeforeItsLeaseExpires() {
     start(false);
--- a/daemon/src/main/java/org/plantainknot/daemon/controller/JobStateMachine.java
+++ b/daemon/src/main/java/org/plantainknot/daemon/controller/JobStateMachine.java
@@ -14,6 +14,7 @@
 import org.plantainknot.daemon.control.Clock;
 import org.plantainknot.daemon.control.ReplicaDriver;
 import org.plantainknot.daemon.control.StateCodec;
+import org.plantainknot.daemon.control.SuspensionDetector;
 import org.plantainknot.daemon.leader.LeaderView;
 import org.plantainknot.daemon.metrics.DecisionMetrics;
 import org.plantainknot.daemon.settings.ClusterSettings;
@@ -39,6 +40,7 @@
   private final DecisionMetrics metrics;
   private final CommitTimes commitTimes;
   private final MachineOrderTimes orderTimes = new MachineOrderTimes();
+  private final SuspensionDetector suspensionDetector = new SuspensionDetector();
   private JobScheduler scheduler;
   private long appliedIndex;
   private long electedTerm;
@@ -156,7 +158,12 @@
    * member may lead already, and the next tick either runs the actions or steps down.
    */
   private void runActionsIfLeading() {
-    if (replica.hasConfirmedLeadership(Clock.nowMillis())) {
+    long nowMillis = Clock.nowMillis();
+    if (suspensionDetector.observe(nowMillis, Clock.wallMillis())) {
+      logger.atWarning().log("suspension-suspected term=%d", electedTerm);
+      replica.suspectContact(nowMillis);
+    }
+    if (replica.hasConfirmedLeadership(nowMillis)) {
       runner.run(scheduler.tick(!transferringLeadership), scheduler);
     }
   }
