Ignore a heartbeat that was on its way when its worker left

Cause: a heartbeat that arrives after the departure of its worker, with a higher number than the last one, made the worker ready again.

Change: for 2 s after a departure heartbeats of that incarnation are ignored. Not longer, since a departure names the worker only: one that is late may meet a later incarnation, whose heartbeats go on.

--- a/core/src/main/java/org/plantainknot/core/schedule/WorkerDirectory.java
+++ b/core/src/main/java/org/plantainknot/core/schedule/WorkerDirectory.java
@@ -20,20 +20,27 @@
   /** Time without a heartbeat after which a worker is removed. */
   public static final long EXPIRY_MILLIS = 30_000;
 
+  /**
+   * Time after a departure within which a heartbeat was sent before it. A departure doesn't name
+   * the incarnation, so heartbeats that go on are those of a later one.
+   */
+  private static final long MAX_HEARTBEAT_DELAY_MILLIS = 2_000;
+
   private final Map<String, WorkerHeartbeat> heartbeats = new TreeMap<>();
   private final Map<String, Long> lastHeartbeatAtMillis = new HashMap<>();
   private final Map<String, Long> leftAtMillis = new HashMap<>();
   private final Map<String, Long> latestBornMillisByAddress = new HashMap<>();
 
   /**
-   * Records a heartbeat.
+   * Records a heartbeat, unless it is older than the recorded one or its incarnation has just left.
    *
-   * @return whether it was newer than the recorded one
+   * @return whether it was recorded
    */
   public boolean recordHeartbeat(WorkerHeartbeat heartbeat, long nowMillis) {
     String worker = heartbeat.life().worker();
     WorkerHeartbeat known = heartbeats.get(worker);
-    if (known != null && !heartbeat.isNewerThan(known)) {
+    if (known != null
+        && (!heartbeat.isNewerThan(known) || hasJustLeft(heartbeat.life(), nowMillis))) {
       return false;
     }
     heartbeats.put(worker, heartbeat);
@@ -60,6 +67,11 @@
     heartbeats.computeIfPresent(worker, (id, known) -> known.withPhase(WorkerPhase.LEFT));
   }
 
+  private boolean hasJustLeft(WorkerIncarnation incarnation, long nowMillis) {
+    return hasLeftBy(incarnation, nowMillis)
+        && !hasLeftBy(incarnation, nowMillis - MAX_HEARTBEAT_DELAY_MILLIS);
+  }
+
   /**
    * Returns whether an incarnation announced its departure by the given time and has not returned.
    */
