--- a/core/src/main/java/org/plantainknot/core/schedule/Dispatcher.java
+++ b/core/src/main/java/org/plantainknot/core/schedule/Dispatcher.java
@@ -1,6 +1,5 @@
 package org.plantainknot.core.schedule;
 
-import java.util.ArrayList;
 import java.util.List;
 import java.util.function.Consumer;
 import org.plantainknot.core.job.Assignment;
@@ -48,6 +47,7 @@
   private final ActionQueue actionQueue;
   private final EndProposer endProposer;
   private final RunTable runs = new RunTable();
+  private final LostRuns lostRuns;
   private final DurationEstimator durationEstimator = new DurationEstimator();
   private final DurationRecorder durationRecorder;
 
@@ -65,6 +65,7 @@
     this.advisor = new Advisor(ledger);
     this.actionQueue = new ActionQueue(ledger, sessions, timing, advisor, term);
     this.endProposer = new EndProposer(ledger, actionQueue);
+    this.lostRuns = new LostRuns(runs, sessions, actionQueue);
     this.durationRecorder = new DurationRecorder(ledger, durationEstimator);
     for (Task task : ledger.assignedTasks()) {
       runs.add(new TrackedRun(task, task.worker(), Phase.ADOPTED, nowMillis));
@@ -122,7 +123,7 @@
     for (WorkerHeartbeat worker : directory.all()) {
       renewIfDue(worker, nowMillis);
     }
-    giveUpLostRuns(nowMillis);
+    lostRuns.giveUpLost(nowMillis);
     for (WorkerIncarnation incarnation : runs.incarnations()) {
       advanceRuns(incarnation, nowMillis);
     }
@@ -154,7 +155,7 @@
     report.running().forEach(listed -> onListedRunning(target, listed, nowMillis));
     report.ended().forEach(listed -> onListedEnd(listed, nowMillis));
     endProposer.proposeNew(session, report, nowMillis);
-    resolveUnlistedRuns(session, sentAtMillis, nowMillis);
+    lostRuns.resolveUnlisted(session, sentAtMillis, nowMillis);
   }
 
   /** Handles the failure of a renewal. */
@@ -193,12 +194,12 @@
       case OTHER_LIFE -> session.markEnded();
       case NO_TICKET -> {
         advisor.refused(runId.task().stepId(), target.life());
-        giveUpOrFence(run, nowMillis);
+        lostRuns.giveUpOrFence(run, nowMillis);
       }
       case NO_ROOM, UNHEALTHY, INVALID -> {
         boolean full = outcome == CallOutcome.NO_ROOM;
         session.blockUntil(nowMillis + (full ? NO_ROOM_BLOCK_MILLIS : SUSPECT_BLOCK_MILLIS));
-        giveUpOrFence(run, nowMillis);
+        lostRuns.giveUpOrFence(run, nowMillis);
       }
       default -> suspectAfterRetries(run, session, nowMillis);
     }
@@ -264,59 +265,6 @@
     actionQueue.renew(worker, session, nowMillis);
   }
 
-  private void giveUpLostRuns(long nowMillis) {
-    List<TrackedRun> lost = new ArrayList<>();
-    for (WorkerIncarnation incarnation : runs.incarnations()) {
-      if (sessions.hasIncarnationEnded(incarnation, nowMillis)) {
-        fenceOnSuccessor(incarnation, nowMillis);
-        runs.on(incarnation).stream()
-            .filter(run -> sessions.cannotRunOnSuccessor(run, nowMillis))
-            .forEach(lost::add);
-      }
-    }
-    giveUp(lost, nowMillis);
-  }
-
-  /**
-   * Stops runs on the worker's later incarnation, which may have received an unanswered copy of the
-   * start and execute it late.
-   */
-  private void fenceOnSuccessor(WorkerIncarnation ended, long nowMillis) {
-    sessions
-        .successorOf(ended)
-        .ifPresent(
-            successor -> {
-              for (TrackedRun run : runs.on(ended)) {
-                if (run.mayStillStart() && !run.isBeingGivenUp()) {
-                  runs.moveTo(run, successor);
-                  run.restartStop(nowMillis);
-                }
-              }
-            });
-  }
-
-  private void giveUp(List<TrackedRun> lost, long nowMillis) {
-    List<RunId> ids = new ArrayList<>();
-    for (TrackedRun run : lost) {
-      if (!run.isBeingGivenUp()) {
-        run.enter(Phase.GIVING_UP, nowMillis);
-        ids.add(run.id());
-      }
-    }
-    if (!ids.isEmpty()) {
-      propose(new GiveUpRuns(ids));
-    }
-  }
-
-  /** An unanswered copy of the start may still be executed later unless a stop fences it. */
-  private void giveUpOrFence(TrackedRun run, long nowMillis) {
-    if (run.mayStillStart()) {
-      run.enter(Phase.STOPPING, nowMillis);
-    } else {
-      giveUp(List.of(run), nowMillis);
-    }
-  }
-
   /**
    * Stops stalled runs and, on a worker that is leaving, persistent runs; then sends the orders
    * that are due.
@@ -361,7 +309,7 @@
       return;
     }
     if (run.phase() == Phase.STARTING && isLeaving(run.incarnation())) {
-      giveUpOrFence(run, nowMillis);
+      lostRuns.giveUpOrFence(run, nowMillis);
     }
     if (run.phase() == Phase.STARTING) {
       actionQueue.start(run, nowMillis);
@@ -426,24 +374,6 @@
     }
   }
 
-  /** Resolves runs assigned to the worker that are missing from its report. */
-  private void resolveUnlistedRuns(WorkerSession session, long sentAtMillis, long nowMillis) {
-    List<TrackedRun> neverStarted = new ArrayList<>();
-    for (TrackedRun run : runs.on(session.incarnation())) {
-      if (session.lists(run.id()) || run.phaseAtMillis() >= sentAtMillis) {
-        continue;
-      }
-      if (run.phase() == Phase.ADOPTED) {
-        run.enter(Phase.STARTING, nowMillis);
-      } else if (run.phase() == Phase.RUNNING) {
-        run.enter(Phase.STOPPING, nowMillis);
-      } else if (run.phase() == Phase.STOPPED) {
-        neverStarted.add(run);
-      }
-    }
-    giveUp(neverStarted, nowMillis);
-  }
-
   private void suspectAfterRetries(TrackedRun run, WorkerSession session, long nowMillis) {
     if (run.isRetryLimitReached()) {
       session.blockUntil(nowMillis + SUSPECT_BLOCK_MILLIS);
