--- a/core/src/main/java/org/plantainknot/core/replica/Replica.java
+++ b/core/src/main/java/org/plantainknot/core/replica/Replica.java
@@ -22,12 +22,11 @@
  */
 public final class Replica {
 
-  private static final int MAX_APPEND_BYTES = 1 << 20;
-
   private final MemberId self;
   private final ReplicaTiming timing;
   private final Outbox outbox = new Outbox();
   private final ReplicaLog log;
+  private final Appender appender;
   private final Election election;
   private final Map<String, MemberId> peers = new LinkedHashMap<>();
 
@@ -42,6 +41,7 @@
     this.self = self;
     this.timing = timing;
     this.log = new ReplicaLog(stored.snapshot(), stored.entries(), outbox);
+    this.appender = new Appender(log, outbox, timing);
     this.election = new Election(timing, stored.hardState(), outbox, seed, nowMillis);
     this.commitIndex = stored.snapshot().lastIndex();
   }
@@ -398,27 +398,8 @@
 
   private void sendAppend(MemberId peer, long round, boolean sendIfEmpty, long nowMillis) {
     Progress progress = leadership.progress(peer, log.lastIndex() + 1);
-    long previous = progress.nextIndex() - 1;
-    if (previous < log.snapshot().lastIndex()) {
-      sendSnapshot(peer, progress, round, nowMillis);
-      return;
-    }
-    List<Entry> entries = log.from(progress.nextIndex(), MAX_APPEND_BYTES);
-    if (entries.isEmpty() && !sendIfEmpty) {
-      return;
-    }
-    progress.recordSent(previous + entries.size());
-    outbox.send(
-        peer,
-        new Append(election.term(), round, previous, log.termAt(previous), entries, commitIndex));
-  }
-
-  private void sendSnapshot(MemberId peer, Progress progress, long round, long nowMillis) {
-    if (nowMillis - progress.snapshotSentAtMillis() < timing.minElectionTimeoutMillis()) {
-      return;
-    }
-    progress.recordSnapshotSent(log.snapshot().lastIndex(), nowMillis);
-    outbox.send(peer, new InstallSnapshot(election.term(), round, log.snapshot()));
+    Appender.Header header = new Appender.Header(election.term(), round, commitIndex);
+    appender.send(peer, progress, header, sendIfEmpty, nowMillis);
   }
 
   /** Commits only entries of the current term by counting replicas (Ongaro, section 3.6.2). */
