--- a/core/src/test/java/org/plantainknot/core/replica/FakeCluster.java
+++ b/core/src/test/java/org/plantainknot/core/replica/FakeCluster.java
@@ -2,10 +2,8 @@
 
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
-import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
-import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
 import java.util.SortedMap;
@@ -16,16 +14,12 @@
 
 /**
  * Members on a simulated network that loses, duplicates, delays and reorders messages and can be
- * partitioned, with an oracle.
- *
- * <p>The oracle checks that a committed entry never changes, that a term has at most one leader,
- * and that no lease holder's applied index is behind an index in force.
+ * partitioned, checked by a {@link LogOracle}.
  */
 final class FakeCluster {
 
   static final ReplicaTiming TIMING = new ReplicaTiming(50, 300, 600);
 
-  private static final String IN_FORCE = "in force ";
   private static final int STEP_MILLIS = 20;
 
   /** Steps within which a leader without a majority steps down and another one is elected. */
@@ -43,11 +37,9 @@
   private final List<FakeNode> nodes = new ArrayList<>();
   private final FakeNetwork network = new FakeNetwork();
   private final Set<String> lostDisks = new HashSet<>();
-  private final Map<Long, String> contentByIndex = new HashMap<>();
-  private final Map<Long, MemberId> leaderByTerm = new HashMap<>();
+  private final LogOracle oracle = new LogOracle();
   private long nowMillis = 10_000;
   private long proposals;
-  private long inForceIndex;
 
   FakeCluster(int voters, Fault fault) {
     this.voters = voters;
@@ -76,7 +68,7 @@
   }
 
   int committedCount() {
-    return contentByIndex.size();
+    return oracle.committedCount();
   }
 
   /** Performs the action that the number encodes. */
@@ -173,7 +165,7 @@
     }
     network.heal();
     grants.forEach(this::deliver);
-    checkLeases();
+    oracle.checkLeases(nodes, nowMillis);
   }
 
   private static boolean isGrantFor(FakeNode holder, Packet packet) {
@@ -211,38 +203,32 @@
       nodes.forEach(FakeNode::sync);
       advanceTime(STEP_MILLIS);
     }
-    require(proposals > proposalsBefore, "no leader after all failures have ended: " + describe());
+    LogOracle.require(
+        proposals > proposalsBefore, "no leader after all failures have ended: " + describe());
     long appliedIndex = nodes.get(0).appliedIndex();
-    require(
-        appliedIndex == contentByIndex.size(),
+    LogOracle.require(
+        appliedIndex == oracle.committedCount(),
         appliedIndex
             + " entries applied of "
-            + contentByIndex.size()
+            + oracle.committedCount()
             + " committed after all failures have ended: "
             + describe());
-    nodes.forEach(n -> require(n.appliedIndex() == appliedIndex, n.member() + " is behind"));
+    nodes.forEach(
+        n -> LogOracle.require(n.appliedIndex() == appliedIndex, n.member() + " is behind"));
   }
 
   void send(MemberId sender, MemberId receiver, Object message) {
     network.send(new Packet(sender, receiver, message));
   }
 
-  void recordCommit(MemberId member, Entry entry) {
-    String content = entry.hasCommand() ? text(entry) : String.valueOf(entry.membership());
-    String previous = contentByIndex.putIfAbsent(entry.index(), content);
-    require(
-        previous == null || previous.equals(content), "entry " + entry.index() + " has changed");
-    if (previous == null && content.startsWith(IN_FORCE)) {
-      inForceIndex = Math.max(inForceIndex, Long.parseLong(content.substring(IN_FORCE.length())));
-    }
-    if (previous == null && entry.membership() != null) {
+  void recordCommit(Entry entry) {
+    if (oracle.recordCommit(entry) && entry.membership() != null) {
       lostDisks.removeIf(node -> entry.membership().isVoter(nodeNamed(node).member()));
     }
   }
 
   void recordLeader(MemberId member, long term) {
-    MemberId previous = leaderByTerm.putIfAbsent(term, member);
-    require(previous == null || previous.equals(member), "two leaders in term " + term);
+    oracle.recordLeader(member, term);
   }
 
   private interface NodeAction {
@@ -311,15 +297,7 @@
                   running.replica().tick(nowMillis);
                   running.drain();
                 }));
-    checkLeases();
-  }
-
-  private void checkLeases() {
-    for (FakeNode node : nodes) {
-      boolean stale =
-          node.isRunning() && node.lease().isHeld(nowMillis) && node.appliedIndex() < inForceIndex;
-      require(!stale, node.member() + " holds a lease behind index " + inForceIndex);
-    }
+    oracle.checkLeases(nodes, nowMillis);
   }
 
   private void propose(FakeNode node) {
@@ -378,7 +356,7 @@
             .mapToLong(p -> table.latest(p).map(LeaseRequest::appliedIndex).orElse(0L))
             .min()
             .orElse(node.replica().status().commitIndex());
-    node.replica().propose((IN_FORCE + index).getBytes(StandardCharsets.UTF_8));
+    node.replica().propose(LogOracle.inForce(index));
     node.replica().flush(nowMillis);
     node.drain();
   }
@@ -452,14 +430,4 @@
   private FakeNode nodeNamed(String node) {
     return nodes.stream().filter(n -> n.member().node().equals(node)).findFirst().orElseThrow();
   }
-
-  private static String text(Entry entry) {
-    return new String(entry.command(), StandardCharsets.UTF_8);
-  }
-
-  private static void require(boolean condition, String message) {
-    if (!condition) {
-      throw new AssertionError(message);
-    }
-  }
 }
--- a/core/src/test/java/org/plantainknot/core/replica/FakeNode.java
+++ b/core/src/test/java/org/plantainknot/core/replica/FakeNode.java
@@ -155,7 +155,7 @@
           member + " applies entry " + entry.index() + " after " + appliedIndex);
     }
     appliedIndex = entry.index();
-    cluster.recordCommit(member, entry);
+    cluster.recordCommit(entry);
   }
 
   private void updateLeaseTable() {
