End a gateway's lease by the wall clock too

Cause: a gateway of the product's own cluster held its lease by the monotonic clock, which stands still while its machine is suspended; on waking it could send work to a target for up to the rest of its lease after the leader had taken the lease for expired (known red until now).

Change: a lease is measured on both clocks and ends by the one that is ahead.

--- a/core/src/test/java/org/plantainknot/core/replica/FakeCluster.java
+++ b/core/src/test/java/org/plantainknot/core/replica/FakeCluster.java
@@ -282,7 +282,7 @@
     }
     long sequence = grant.request().sequence();
     if (fault == Fault.LEASE_STARTS_AT_GRANT_ARRIVAL) {
-      sequence = receiver.lease().request(nowMillis);
+      sequence = receiver.lease().request(nowMillis, nowMillis);
     }
     receiver.lease().granted(sequence, FakeNode.LEASE_TIMING.leaseMillis(), grant.commitIndex());
   }
--- a/core/src/test/java/org/plantainknot/core/replica/FakeNode.java
+++ b/core/src/test/java/org/plantainknot/core/replica/FakeNode.java
@@ -136,7 +136,7 @@
   }
 
   LeaseRequest request(long nowMillis) {
-    long sequence = lease.request(nowMillis);
+    long sequence = lease.request(nowMillis, nowMillis);
     return new LeaseRequest(member.node(), process(), sequence, appliedIndex, 0, Set.of(), false);
   }
 
--- a/core/src/test/java/org/plantainknot/core/replica/LogOracle.java
+++ b/core/src/test/java/org/plantainknot/core/replica/LogOracle.java
@@ -52,7 +52,9 @@
   void checkLeases(List<FakeNode> nodes, long nowMillis) {
     for (FakeNode node : nodes) {
       boolean stale =
-          node.isRunning() && node.lease().isHeld(nowMillis) && node.appliedIndex() < inForceIndex;
+          node.isRunning()
+              && node.lease().isHeld(nowMillis, nowMillis)
+              && node.appliedIndex() < inForceIndex;
       require(!stale, node.member() + " holds a lease behind index " + inForceIndex);
     }
   }
--- a/core/src/test/java/org/plantainknot/core/rollout/CoordinatorFuzzTest.java
+++ b/core/src/test/java/org/plantainknot/core/rollout/CoordinatorFuzzTest.java
@@ -188,7 +188,7 @@
       gateway.endsByVm.keySet().stream()
           .filter(vm -> !gateway.serving.contains(vm) && gateway.isBusyWith(vm, nowMillis))
           .forEach(busy::add);
-      long sequence = gateway.lease.request(nowMillis);
+      long sequence = gateway.lease.request(nowMillis, nowMillis);
       round++;
       leases.request(
           new LeaseRequest(
@@ -208,7 +208,9 @@
     private void dispatch(Gateway gateway, int argument) {
       String vm = Fleets.vm(argument / 8 % VMS);
       boolean mayDispatch =
-          !gateway.frozen && gateway.lease.isHeld(nowMillis) && gateway.serving.contains(vm);
+          !gateway.frozen
+              && gateway.lease.isHeld(nowMillis, nowMillis)
+              && gateway.serving.contains(vm);
       if (mayDispatch) {
         long end = nowMillis + argument % TIMING.requestMaxMillis();
         gateway.endsByVm.computeIfAbsent(vm, v -> new HashSet<>()).add(end);
--- a/daemon/src/main/java/org/plantainknot/daemon/control/ControlNode.java
+++ b/daemon/src/main/java/org/plantainknot/daemon/control/ControlNode.java
@@ -119,7 +119,7 @@
 
   /** Returns whether this gateway may accept new requests now. */
   public boolean acceptsRequests() {
-    return ready && !stopping && lease().isHeld(Clock.nowMillis());
+    return ready && !stopping && lease().isHeld(Clock.nowMillis(), Clock.wallMillis());
   }
 
   /** Submits a command to the log and returns its result once it is applied on this node. */
--- a/daemon/src/main/java/org/plantainknot/daemon/control/LeaseClient.java
+++ b/daemon/src/main/java/org/plantainknot/daemon/control/LeaseClient.java
@@ -78,7 +78,7 @@
     GatewayReport report = listener.report();
     LeaseRequestProto.Builder request =
         LeaseRequestProto.newBuilder()
-            .setSequence(lease.request(nowMillis))
+            .setSequence(lease.request(nowMillis, Clock.wallMillis()))
             .setProcess(process)
             .setAppliedIndex(state.appliedIndex())
             .setSharesVersion(report.settled() ? state.gateways().version() : 0)
--- a/daemon/src/main/java/org/plantainknot/daemon/operator/OperatorServer.java
+++ b/daemon/src/main/java/org/plantainknot/daemon/operator/OperatorServer.java
@@ -192,7 +192,7 @@
     Uni<Object> answer =
         node.read(
             state -> {
-              if (!node.lease().isHeld(Clock.nowMillis())) {
+              if (!node.lease().isHeld(Clock.nowMillis(), Clock.wallMillis())) {
                 throw new PlantainknotException(
                     ErrorCode.UNAVAILABLE, "this node holds no lease; ask another entry VM");
               }
