--- /dev/null
+++ b/review/standin/Cases.java
@@ -0,0 +1,42 @@
+package review;
+
+import java.nio.file.Path;
+import java.util.List;
+import java.util.Map;
+
+/** Runs one case: exit status 1 if the rule was broken, 0 if it held, 2 if the case couldn't run. */
+public final class Cases {
+
+  /** A case; returns the breaks of the rule, none if it held. */
+  interface Case {
+    List<String> run(Site site, Recorder recorder, boolean trouble) throws Exception;
+  }
+
+  private static final Map<String, Case> CASES =
+      Map.of(
+          "many-ends", new ManyEndsCase());
+
+  private Cases() {}
+
+  /** Runs the named case and writes its record into the folder. */
+  public static void main(String[] args) {
+    Path folder = Path.of(args[1]);
+    Path root = Path.of(args[2]);
+    boolean trouble = !"0".equals(System.getenv("TROUBLE"));
+    int status = 2;
+    try (Recorder recorder = new Recorder(folder.resolve("record.txt"))) {
+      recorder.event("script", args[0] + (trouble ? "" : " without the trouble"));
+      try (Site site = new Site(root, recorder)) {
+        List<String> breaks = CASES.get(args[0]).run(site, recorder, trouble);
+        breaks.forEach(line -> recorder.event("script", "BROKEN: " + line));
+        breaks.forEach(line -> System.out.println("BROKEN: " + line));
+        status = breaks.isEmpty() ? 0 : 1;
+      } catch (Exception e) {
+        recorder.event("script", "the case couldn't run: " + e);
+        System.out.println("the case couldn't run: " + e);
+      }
+      recorder.event("script", "exit status " + status);
+    }
+    System.exit(status);
+  }
+}
