--- a/review/standin/Cases.java
+++ b/review/standin/Cases.java
@@ -14,7 +14,8 @@
 
   private static final Map<String, Case> CASES =
       Map.of(
-          "many-ends", new ManyEndsCase());
+          "many-ends", new ManyEndsCase(),
+          "long-schedule", new LongScheduleCase());
 
   private Cases() {}
 
