--- a/review/standin/Cases.java
+++ b/review/standin/Cases.java
@@ -15,7 +15,8 @@
   private static final Map<String, Case> CASES =
       Map.of(
           "many-ends", new ManyEndsCase(),
-          "long-schedule", new LongScheduleCase());
+          "long-schedule", new LongScheduleCase(),
+          "foreign-check-in", new ForeignCheckInCase());
 
   private Cases() {}
 
