--- a/review/standin/Cases.java
+++ b/review/standin/Cases.java
@@ -16,7 +16,8 @@
       Map.of(
           "many-ends", new ManyEndsCase(),
           "long-schedule", new LongScheduleCase(),
-          "foreign-check-in", new ForeignCheckInCase());
+          "foreign-check-in", new ForeignCheckInCase(),
+          "gang-retry", new GangRetryCase());
 
   private Cases() {}
 
