--- a/review/standin/Cases.java
+++ b/review/standin/Cases.java
@@ -17,7 +17,8 @@
           "many-ends", new ManyEndsCase(),
           "long-schedule", new LongScheduleCase(),
           "foreign-check-in", new ForeignCheckInCase(),
-          "gang-retry", new GangRetryCase());
+          "gang-retry", new GangRetryCase(),
+          "stop", new StopCase());
 
   private Cases() {}
 
