--- a/review/standin/ManyEndsCase.java
+++ b/review/standin/ManyEndsCase.java
@@ -7,20 +7,20 @@
 import java.util.TreeSet;
 
 /**
- * The leading controller is killed while 2,000 small work units of one submission are about to end
+ * The leading controller is killed while 3,000 small work units of one submission are about to end
  * on one runner, so that the next leader finds more ends than a response lists. Without the trouble
  * it isn't killed.
  */
 final class ManyEndsCase implements Cases.Case {
 
   private static final String WORK = "0000000000000091";
-  private static final int COUNT = 2_000;
-  private static final long MILLI_CORES_EACH = 8;
-  private static final long MEMORY_MIB_EACH = 16;
+  private static final int COUNT = 3_000;
+  private static final long MILLI_CORES_EACH = 5;
+  private static final long MEMORY_MIB_EACH = 10;
   private static final long ESTIMATE_MILLIS = 40_000;
 
   /** Time from the start of the script at which the first work unit ends. */
-  private static final long FIRST_END_MILLIS = 40_000;
+  private static final long FIRST_END_MILLIS = 45_000;
 
   /** Time within which all of them end, the one that was started last first. */
   private static final long END_WINDOW_MILLIS = 1_000;
--- a/review/standin/Runner.java
+++ b/review/standin/Runner.java
@@ -26,6 +26,9 @@
   /** Time after its start from which a work unit that lasts is at work. */
   private static final long PERSISTENT_STARTUP_MILLIS = 300;
 
+  /** Time that the runner takes to answer an order. */
+  private static final long ORDER_MILLIS = 5;
+
   private static final int MAX_ENDS_LISTED = 500;
 
   private final Recorder recorder;
@@ -190,6 +193,9 @@
     } else {
       status = dispatch(exchange.getRequestURI().getPath(), request, response);
     }
+    if (!exchange.getRequestURI().getPath().equals("/hold")) {
+      Site.pause(ORDER_MILLIS);
+    }
     byte[] body = response.toString().getBytes();
     exchange.getResponseHeaders().add("Content-Type", "application/json");
     exchange.getResponseHeaders().add("X-Instance-Id", id);
