--- a/review/standin/RunLog.java
+++ b/review/1/standin/RunLog.java
@@ -50,6 +50,14 @@
     latestByRun.get(task + "#" + run).noted = true;
   }
 
+  /** Fails unless the given number of a submission's runs are running. */
+  void requireRunning(String submission, int count) throws CaseFailure {
+    long running = of(submission).stream().filter(Entry::isRunning).count();
+    if (running != count) {
+      throw new CaseFailure(running + " of " + count + " work units are running before the trouble");
+    }
+  }
+
   /** Returns the runs of a submission in the order of their starts. */
   synchronized List<Entry> of(String submission) {
     return entries.stream().filter(entry -> entry.task.startsWith(submission + ".")).toList();
--- a/review/standin/LongScheduleCase.java
+++ b/review/2/LongScheduleCase.java
@@ -30,6 +30,7 @@
     Submissions.step(lasting).put("persistent", true);
     site.submit(LASTING, lasting.toString(), 10_000);
     Site.pause(3_000);
+    recorder.runs().requireRunning(LASTING, 2);
 
     ObjectNode scheduled = Submissions.of(2, 500, 1_000);
     scheduled.put("times", trouble ? MINUTES_PER_YEAR : MINUTES_PER_HOUR);
--- a/review/standin/GangRetryCase.java
+++ b/review/4/GangRetryCase.java
@@ -26,6 +26,7 @@
     Submissions.step(gang).put("gang", true);
     site.submit(GANG, gang.toString(), 10_000);
     Site.pause(2_000);
+    recorder.runs().requireRunning(GANG, MEMBERS);
     if (trouble) {
       int place = 0;
       while (!site.runner(place).isBusy()) {
