Take a worker's report for complete only if it can be

Cause: a worker lists at most 500 unacknowledged ends in a report. LostRuns took a run that is neither running nor listed for one that never started. A new leader sends such a run's start again, the worker answers that it is old, and the next report, which still lists other ends, made the leader give the run up; its task was assigned again.

Change: the adapter tells whether a report may omit ends; such a report rules no run out, in the three places that asked. Ends are committed and acknowledged page by page as before, so a report with fewer ends comes.

Ruled out: a lapsed lease (the runs were given up while the worker answered each 20 ms); ends in another order than they were numbered (numbers are in order; starts and ends are not); acknowledging more than was listed (EndProposer takes the last listed number).

--- a/bench/src/main/java/org/plantainknot/bench/measure/RoundMeasurement.java
+++ b/bench/src/main/java/org/plantainknot/bench/measure/RoundMeasurement.java
@@ -177,7 +177,7 @@
       dispatcher.renewed(
           new WorkerTarget(worker.life(), worker.address()),
           nowMillis - 1,
-          new WorkerReport(1, nowMillis, List.of(), List.of()),
+          WorkerReport.complete(1, nowMillis, List.of(), List.of()),
           nowMillis);
     }
   }
--- a/core/src/main/java/org/plantainknot/core/schedule/Dispatcher.java
+++ b/core/src/main/java/org/plantainknot/core/schedule/Dispatcher.java
@@ -155,7 +155,7 @@
     report.running().forEach(listed -> onListedRunning(target, listed, nowMillis));
     report.ended().forEach(listed -> onListedEnd(listed, nowMillis));
     endProposer.proposeNew(session, report, nowMillis);
-    lostRuns.resolveUnlisted(session, sentAtMillis, nowMillis);
+    lostRuns.resolveRuledOut(session, sentAtMillis, nowMillis);
   }
 
   /** Handles the failure of a renewal. */
--- a/core/src/main/java/org/plantainknot/core/schedule/LostRuns.java
+++ b/core/src/main/java/org/plantainknot/core/schedule/LostRuns.java
@@ -77,11 +77,11 @@
     }
   }
 
-  /** Resolves runs assigned to the worker that are missing from its report. */
-  void resolveUnlisted(WorkerSession session, long sentAtMillis, long nowMillis) {
+  /** Resolves runs assigned to the worker that its report rules out. */
+  void resolveRuledOut(WorkerSession session, long sentAtMillis, long nowMillis) {
     List<TrackedRun> neverStarted = new ArrayList<>();
     for (TrackedRun run : runs.on(session.incarnation())) {
-      if (session.lists(run.id()) || run.phaseAtMillis() >= sentAtMillis) {
+      if (!session.rulesOut(run.id()) || run.phaseAtMillis() >= sentAtMillis) {
         continue;
       }
       if (run.phase() == Phase.ADOPTED) {
--- a/core/src/main/java/org/plantainknot/core/schedule/WorkerSession.java
+++ b/core/src/main/java/org/plantainknot/core/schedule/WorkerSession.java
@@ -42,6 +42,7 @@
   private int failuresInRow;
   private Map<RunId, ListedRun> running = Map.of();
   private Set<RunId> ended = Set.of();
+  private boolean mayOmitEnds;
 
   /**
    * Creates the session before the first answer.
@@ -88,6 +89,7 @@
     report.running().forEach(run -> listed.put(run.run(), run));
     running = listed;
     ended = report.ended().stream().map(e -> e.end().run()).collect(Collectors.toSet());
+    mayOmitEnds = report.mayOmitEnds();
     return true;
   }
 
@@ -108,9 +110,12 @@
     return !ended.isEmpty();
   }
 
-  /** Returns whether the latest report lists a run as running or ended. */
-  boolean lists(RunId run) {
-    return running.containsKey(run) || ended.contains(run);
+  /**
+   * Returns whether the latest report rules out that a run is running or has ended without being
+   * acknowledged. A report that may omit ends rules out nothing.
+   */
+  boolean rulesOut(RunId run) {
+    return !mayOmitEnds && !running.containsKey(run) && !ended.contains(run);
   }
 
   /**
--- a/core/src/main/java/org/plantainknot/core/schedule/WorkerSessions.java
+++ b/core/src/main/java/org/plantainknot/core/schedule/WorkerSessions.java
@@ -97,7 +97,7 @@
     WorkerSession session = of(successor.get());
     boolean reportedSince =
         !run.isAwaitingAnswer() && session.reportRequestedAtMillis() > run.answeredAtMillis();
-    boolean fenced = reportedSince && !session.lists(run.id());
+    boolean fenced = reportedSince && session.rulesOut(run.id());
     return fenced
         || (hasIncarnationEnded(successor.get(), nowMillis)
             && !run.hasUnansweredStartSince(nowMillis - MAX_ORDER_DELAY_MILLIS));
--- a/core/src/test/java/org/plantainknot/core/schedule/DispatchFuzzTest.java
+++ b/core/src/test/java/org/plantainknot/core/schedule/DispatchFuzzTest.java
@@ -25,6 +25,7 @@
 import org.plantainknot.core.job.ServiceConfig;
 import org.plantainknot.core.job.WorkerIncarnation;
 import org.plantainknot.core.placement.Resources;
+import org.testng.annotations.BeforeMethod;
 import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
 
@@ -41,6 +42,7 @@
   private static final long END_MILLIS = 90_000;
   private static final long COMMIT_MILLIS = 12;
   private static final long SLOW_COMMIT_MILLIS = 4_000;
+  private static final int FEW_ENDS = 2;
   private static final Resources CAPACITY = new Resources(8_000, 16_000, 0);
 
   private record Event(long atMillis, long order, Runnable task) {}
@@ -56,6 +58,7 @@
   private Planner planner;
   private long term;
   private boolean commitsSlowly;
+  private int maxListedEnds;
   private long lastCommitAtMillis;
   private DispatchOracle oracle;
   private List<FakeWorker> workers;
@@ -97,6 +100,11 @@
     return LATE_RENEWAL_SEEDS.stream().map(seed -> new Object[] {seed}).toArray(Object[][]::new);
   }
 
+  @BeforeMethod
+  void listAllEnds() {
+    maxListedEnds = Integer.MAX_VALUE;
+  }
+
   @Test(dataProvider = "lateRenewalSeeds")
   void noEndIsLostBecauseARestartedWorkerExecutesAnEarlierRenewalLate(int seed) {
     commitsSlowly = true;
@@ -121,6 +129,14 @@
     runToCompletion(seed);
   }
 
+  /** Guards against done tasks that run again because a report leaves their ends out. */
+  @Test(dataProvider = "seeds")
+  void noTaskRunsTwiceWhileReportsListOnlyAFewEnds(int seed) {
+    commitsSlowly = seed % 2 == 0;
+    maxListedEnds = FEW_ENDS;
+    runToCompletion(seed);
+  }
+
   private void runToCompletion(int seed) {
     reset(seed);
     while (!events.isEmpty() && nowMillis < END_MILLIS) {
@@ -172,6 +188,7 @@
     ledger.apply(0, new JobCommand.PutConfig(config));
     for (int i = 0; i < WORKERS; i++) {
       FakeWorker worker = new FakeWorker("a" + i, CAPACITY, List.of("a", "r" + i % 2), oracle);
+      worker.setMaxListedEnds(maxListedEnds);
       worker.startIncarnation("w" + i + "-0", nowMillis);
       workers.add(worker);
       every(1_500, i, () -> directory.recordHeartbeat(worker.heartbeat(), nowMillis));
--- a/core/src/test/java/org/plantainknot/core/schedule/DispatcherTest.java
+++ b/core/src/test/java/org/plantainknot/core/schedule/DispatcherTest.java
@@ -278,7 +278,7 @@
   private List<Action> reportDone() {
     List<ListedEnd> ends = List.of(new ListedEnd(1, new RunEnd(RUN, EndKind.DONE, "")));
     dispatcher.renewed(
-        TARGET, nowMillis, new WorkerReport(1, nowMillis + 1, List.of(), ends), nowMillis);
+        TARGET, nowMillis, WorkerReport.complete(1, nowMillis + 1, List.of(), ends), nowMillis);
     return tick();
   }
 
@@ -318,7 +318,7 @@
   /** Reports the given runs, advances the dispatcher and returns its actions. */
   private List<Action> reportAndTick(List<ListedRun> running) {
     dispatcher.renewed(
-        TARGET, nowMillis, new WorkerReport(1, nowMillis + 1, running, List.of()), nowMillis);
+        TARGET, nowMillis, WorkerReport.complete(1, nowMillis + 1, running, List.of()), nowMillis);
     nowMillis++;
     return tick();
   }
@@ -341,7 +341,8 @@
     dispatcher.renewed(
         TARGET,
         nowMillis,
-        new WorkerReport(1, nowMillis + 1, List.of(new ListedRun(RUN, "", percent, 0)), List.of()),
+        WorkerReport.complete(
+            1, nowMillis + 1, List.of(new ListedRun(RUN, "", percent, 0)), List.of()),
         nowMillis);
     dispatcher.drain();
   }
--- a/core/src/test/java/org/plantainknot/core/schedule/DurationRecorderTest.java
+++ b/core/src/test/java/org/plantainknot/core/schedule/DurationRecorderTest.java
@@ -44,7 +44,7 @@
     leader.dispatcher.renewed(
         target,
         leader.nowMillis,
-        new WorkerReport(1, leader.nowMillis, List.of(), ends),
+        WorkerReport.complete(1, leader.nowMillis, List.of(), ends),
         leader.nowMillis);
     leader.nowMillis += SLOW_COMMIT_MILLIS;
     NoteEnds noteEnds = new NoteEnds(target.life(), number, List.of(end));
--- a/core/src/test/java/org/plantainknot/core/schedule/FakeWorker.java
+++ b/core/src/test/java/org/plantainknot/core/schedule/FakeWorker.java
@@ -19,6 +19,7 @@
 
   static final long LEASE_MILLIS = 6_000;
   private static final double CLOCK_RATE = 0.98;
+  private static final int MAX_LISTED_ENDS = 500;
 
   private record Running(long startedAtMillis, long durationMillis, boolean fails) {}
 
@@ -36,6 +37,7 @@
   private long leaseUntilMillis;
   private long nextEnd = 1;
   private long sequence;
+  private int maxListedEnds = MAX_LISTED_ENDS;
 
   public FakeWorker(
       String address, Resources capacity, List<String> labels, DispatchOracle oracle) {
@@ -59,6 +61,11 @@
     sequence = 0;
   }
 
+  /** Sets how many ends a report lists at the most. */
+  void setMaxListedEnds(int maxListedEnds) {
+    this.maxListedEnds = maxListedEnds;
+  }
+
   public WorkerIncarnation incarnation() {
     return incarnation;
   }
@@ -155,7 +162,13 @@
     }
     List<ListedRun> list =
         running.keySet().stream().map(run -> new ListedRun(run, "", 100, 0)).toList();
-    return new WorkerReport(incarnation.bornMillis(), clock(nowMillis), list, List.copyOf(ended));
+    List<ListedEnd> listedEnds = ended.stream().limit(maxListedEnds).toList();
+    return new WorkerReport(
+        incarnation.bornMillis(),
+        clock(nowMillis),
+        list,
+        listedEnds,
+        listedEnds.size() == maxListedEnds);
   }
 
   private void extend(long untilMillis, long nowMillis) {
--- a/core/src/test/java/org/plantainknot/core/schedule/LeaderFixture.java
+++ b/core/src/test/java/org/plantainknot/core/schedule/LeaderFixture.java
@@ -83,7 +83,7 @@
       dispatcher.renewed(
           new WorkerTarget(worker.life(), worker.address()),
           nowMillis,
-          new WorkerReport(1, nowMillis, List.of(), List.of()),
+          WorkerReport.complete(1, nowMillis, List.of(), List.of()),
           nowMillis);
     }
   }
--- a/core/src/test/java/org/plantainknot/core/schedule/MaintainerTest.java
+++ b/core/src/test/java/org/plantainknot/core/schedule/MaintainerTest.java
@@ -137,7 +137,10 @@
     directory.recordHeartbeat(heartbeat(empty, "m2"), 0);
     nowMillis = AFTER_LEADER_WAIT_MILLIS;
     dispatcher.renewed(
-        target(empty), nowMillis, new WorkerReport(1, nowMillis, List.of(), List.of()), nowMillis);
+        target(empty),
+        nowMillis,
+        WorkerReport.complete(1, nowMillis, List.of(), List.of()),
+        nowMillis);
     StepSpec step = StepSpec.builder().size(new Resources(1_000, 100, 0)).persistent(true).build();
     apply(new JobCommand.Submit(new JobSpec("k", "q", "p", List.of(step), Schedule.NOW)));
     List<Assignment> uncommitted = planner.plan(nowMillis, nowMillis);
@@ -302,7 +305,7 @@
     dispatcher.renewed(
         target(incarnation),
         nowMillis,
-        new WorkerReport(incarnation.bornMillis(), nowMillis + 1, List.of(running), List.of()),
+        WorkerReport.complete(incarnation.bornMillis(), nowMillis + 1, List.of(running), List.of()),
         nowMillis);
   }
 
