Create the tasks of a job as they start, whatever numbers it holds

Cause: Job created all tasks of all occurrences when the committed entry was applied. times and count have no bound, the heap has.

Change: occurrences are opened as they are due and planned, and leave once finished; tasks are created as they are placed. A planning round has its bound within a step too.

--- a/core/src/main/java/org/plantainknot/core/job/Job.java
+++ b/core/src/main/java/org/plantainknot/core/job/Job.java
@@ -1,12 +1,24 @@
 package org.plantainknot.core.job;
 
 import java.util.ArrayList;
+import java.util.Collection;
+import java.util.Iterator;
 import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
 import java.util.function.LongUnaryOperator;
 
-/** Accepted job with its status and tasks. */
+/**
+ * Accepted job with its status and tasks.
+ *
+ * <p>Occurrences are opened when they are first needed and discarded once they are finished, so
+ * that the memory in use depends on the work in progress and not on numbers in the specification.
+ */
 public final class Job {
 
+  /** Maximum number of due occurrences without any task that are considered at the same time. */
+  private static final int MAX_UNOPENED_DUE = 8;
+
   /**
    * Copy of a job for snapshots.
    *
@@ -15,7 +27,9 @@
    * @param acceptedAtMillis time of acceptance on the replicated log's clock
    * @param status status of the job
    * @param endedAtMillis time at which the job ended, or 0
-   * @param tasks tasks that have been assigned at least once
+   * @param finishedBelow number below which all occurrences are finished
+   * @param finishedOthers other occurrences that are finished; null in older snapshots
+   * @param tasks tasks of the other occurrences that have been assigned at least once
    */
   public record Image(
       JobSpec spec,
@@ -23,33 +37,40 @@
       long acceptedAtMillis,
       JobStatus status,
       long endedAtMillis,
-      List<TaskImage> tasks) {}
+      int finishedBelow,
+      List<Integer> finishedOthers,
+      List<TaskImage> tasks) {
+
+    /** Replaces a list that is missing in an older snapshot. */
+    public Image {
+      finishedOthers = finishedOthers == null ? List.of() : List.copyOf(finishedOthers);
+    }
+  }
 
   private final long acceptedAtMillis;
   private final TaskCounts counts = new TaskCounts(null);
-  private final List<List<Step>> occurrences = new ArrayList<>();
+  private final Map<Integer, Occurrence> openOccurrences = new TreeMap<>();
+  private final NumberSet finishedOccurrences = new NumberSet();
   private JobSpec spec;
   private String service;
   private JobStatus status = JobStatus.QUEUED;
   private long endedAtMillis;
 
-  /** Tasks of one step of one occurrence, with their counts. */
-  private record Step(List<Task> tasks, TaskCounts counts) {}
-
   Job(JobSpec spec, String service, long acceptedAtMillis) {
     this.spec = spec;
     this.service = service;
     this.acceptedAtMillis = acceptedAtMillis;
-    for (int occurrence = 0; occurrence < spec.schedule().occurrences(); occurrence++) {
-      occurrences.add(createSteps(occurrence));
-    }
   }
 
   static Job restore(Image image) {
     Job job = new Job(image.spec(), image.service(), image.acceptedAtMillis());
     job.status = image.status();
     job.endedAtMillis = image.endedAtMillis();
-    image.tasks().forEach(task -> job.task(task.id()).restore(task));
+    job.finishedOccurrences.restore(image.finishedBelow(), image.finishedOthers());
+    for (TaskImage task : image.tasks()) {
+      job.getOrCreateTask(task.id()).restore(task);
+    }
+    List.copyOf(job.openOccurrences.keySet()).forEach(job::discardIfFinished);
     return job;
   }
 
@@ -78,41 +99,108 @@
     return endedAtMillis;
   }
 
-  /** Returns the number of occurrences. */
-  public int occurrences() {
-    return occurrences.size();
+  /**
+   * Returns the occurrences that are due and have tasks that wait for a worker: those that have
+   * started, and the first few others.
+   */
+  public List<Integer> dueOccurrences(long wallMillis) {
+    List<Integer> due = new ArrayList<>();
+    openOccurrences.forEach(
+        (number, occurrence) -> {
+          if (occurrence.isAnyWaiting() && isDue(number, wallMillis)) {
+            due.add(number);
+          }
+        });
+    int unopened = 0;
+    for (int number = finishedOccurrences.below();
+        unopened < MAX_UNOPENED_DUE && number < occurrences() && isDue(number, wallMillis);
+        number++) {
+      if (!openOccurrences.containsKey(number) && !finishedOccurrences.contains(number)) {
+        due.add(number);
+        unopened++;
+      }
+    }
+    return due;
+  }
+
+  private boolean isDue(int occurrence, long wallMillis) {
+    return spec.schedule().dueMillis(occurrence) <= wallMillis;
+  }
+
+  private int occurrences() {
+    return spec.schedule().occurrences();
+  }
+
+  /** Returns the tasks of a step of an occurrence that have been created. */
+  public Collection<Task> createdTasks(int occurrence, int step) {
+    return occurrence(occurrence).step(step).created();
   }
 
-  /** Returns the tasks of a step of an occurrence. */
-  public List<Task> tasks(int occurrence, int step) {
-    return occurrences.get(occurrence).get(step).tasks();
+  /** Iterates over the tasks of a step of an occurrence that wait for a worker. */
+  public Iterator<Task> waitingTasks(int occurrence, int step) {
+    return occurrence(occurrence).step(step).waiting();
   }
 
-  /** Returns all tasks. */
-  public List<Task> tasks() {
-    return occurrences.stream()
-        .flatMap(List::stream)
-        .flatMap(step -> step.tasks().stream())
+  /** Returns the tasks that have been created, which include all that were ever assigned. */
+  public List<Task> createdTasks() {
+    return openOccurrences.values().stream()
+        .flatMap(occurrence -> occurrence.steps().stream())
+        .flatMap(step -> step.created().stream())
         .toList();
   }
 
   /** Returns whether any task waits for a worker, even if its step is not ready yet. */
   public boolean isAnyWaiting() {
-    return counts.isAnyWaiting();
+    return hasUnopenedOccurrences() || counts.isAnyWaiting();
+  }
+
+  private boolean hasUnopenedOccurrences() {
+    return openOccurrences.size() + finishedOccurrences.size() < occurrences();
   }
 
-  /** Returns whether any task of the step waits for a worker. */
-  public boolean isAnyWaiting(int occurrence, int step) {
-    return counts(occurrence, step).isAnyWaiting();
+  /** Returns the number of tasks of the step that wait for a worker. */
+  public long countWaiting(int occurrence, int step) {
+    return counts(occurrence, step).waiting();
   }
 
-  /** Returns a task, or null if the job has no such task. */
+  /** Returns a task, or null if it has not been created or its occurrence is finished. */
   public Task task(TaskId id) {
+    Occurrence occurrence = openOccurrences.get(id.occurrence());
+    return occurrence == null || !isStep(id.step())
+        ? null
+        : occurrence.step(id.step()).find(id.index());
+  }
+
+  /** Returns a task, or null if the job has no such task or its occurrence is finished. */
+  Task getOrCreateTask(TaskId id) {
     boolean exists =
-        id.occurrence() < occurrences.size()
-            && id.step() < spec.steps().size()
-            && id.index() < spec.steps().get(id.step()).count();
-    return exists ? tasks(id.occurrence(), id.step()).get(id.index()) : null;
+        id.occurrence() >= 0
+            && id.occurrence() < occurrences()
+            && !finishedOccurrences.contains(id.occurrence())
+            && isStep(id.step());
+    return exists ? occurrence(id.occurrence()).step(id.step()).getOrCreate(id.index()) : null;
+  }
+
+  private boolean isStep(int number) {
+    return number >= 0 && number < spec.steps().size();
+  }
+
+  private Occurrence occurrence(int number) {
+    return openOccurrences.computeIfAbsent(number, n -> new Occurrence(spec, n, counts));
+  }
+
+  /** Marks all tasks of a step as done, because one end of a gang represents all of its members. */
+  void finishStep(int occurrence, int step) {
+    occurrence(occurrence).step(step).finish();
+  }
+
+  /** Discards the tasks of an occurrence once all of them are done and none may be running. */
+  void discardIfFinished(int number) {
+    Occurrence occurrence = openOccurrences.get(number);
+    if (occurrence != null && occurrence.isFinished()) {
+      openOccurrences.remove(number);
+      finishedOccurrences.add(number);
+    }
   }
 
   /** Returns whether all steps on which the step depends are done. */
@@ -126,7 +214,7 @@
   }
 
   private TaskCounts counts(int occurrence, int step) {
-    return occurrences.get(occurrence).get(step).counts();
+    return occurrence(occurrence).step(step).counts();
   }
 
   /**
@@ -155,7 +243,7 @@
   }
 
   boolean isAllDone() {
-    return counts.isDone();
+    return !hasUnopenedOccurrences() && counts.isDone();
   }
 
   boolean isAnyAssigned() {
@@ -165,27 +253,21 @@
   /** Discards the tasks, payload and steps, so that ended jobs take little memory. */
   void discardWork() {
     spec = spec.withoutWork();
-    occurrences.clear();
+    openOccurrences.clear();
+    finishedOccurrences.restore(0, List.of());
   }
 
   Image image() {
     List<TaskImage> images =
-        tasks().stream().filter(task -> task.run() > 0).map(Task::image).toList();
-    return new Image(spec, service, acceptedAtMillis, status, endedAtMillis, images);
-  }
-
-  private List<Step> createSteps(int occurrence) {
-    List<Step> steps = new ArrayList<>();
-    for (int number = 0; number < spec.steps().size(); number++) {
-      StepSpec step = spec.steps().get(number);
-      TaskCounts stepCounts = new TaskCounts(counts);
-      List<Task> tasks = new ArrayList<>();
-      for (int index = 0; index < step.count(); index++) {
-        stepCounts.countNew();
-        tasks.add(new Task(new TaskId(spec.id(), occurrence, number, index), step, stepCounts));
-      }
-      steps.add(new Step(tasks, stepCounts));
-    }
-    return steps;
+        createdTasks().stream().filter(task -> task.run() > 0).map(Task::image).toList();
+    return new Image(
+        spec,
+        service,
+        acceptedAtMillis,
+        status,
+        endedAtMillis,
+        finishedOccurrences.below(),
+        finishedOccurrences.others(),
+        images);
   }
 }
--- a/core/src/main/java/org/plantainknot/core/job/JobLedger.java
+++ b/core/src/main/java/org/plantainknot/core/job/JobLedger.java
@@ -108,7 +108,7 @@
     return openJobs;
   }
 
-  /** Returns the task with the given identifier, or null if it is unknown. */
+  /** Returns the task with the given identifier, or null if it was never assigned or is unknown. */
   public Task task(TaskId id) {
     Job job = jobs.get(id.job());
     return job == null ? null : job.task(id);
@@ -267,8 +267,8 @@
   private void assign(Assignment assignment) {
     Job job = jobs.get(assignment.run().task().job());
     if (job != null && !job.status().isEnded()) {
-      Task task = job.task(assignment.run().task());
-      if (task.assign(assignment.run().run(), assignment.worker())) {
+      Task task = job.getOrCreateTask(assignment.run().task());
+      if (task != null && task.assign(assignment.run().run(), assignment.worker())) {
         job.markStarted();
       }
     }
@@ -300,7 +300,7 @@
     task.end(end.kind(), end.checkpoint());
     TaskId id = task.id();
     if (task.step().gang()) {
-      recordGangEnd(job.tasks(id.occurrence(), id.step()), task, end);
+      recordGangEnd(job, task, end);
     }
     if (!job.status().isEnded()) {
       boolean exhausted = task.failedRuns() >= maxAttempts(job) && !task.step().persistent();
@@ -310,17 +310,19 @@
         endJob(job, JobStatus.COMPLETED);
       }
     }
+    job.discardIfFinished(id.occurrence());
     closeIfFinished(job);
   }
 
-  private static void recordGangEnd(List<Task> gang, Task ended, RunEnd end) {
-    for (Task member : gang) {
+  private static void recordGangEnd(Job job, Task ended, RunEnd end) {
+    TaskId id = ended.id();
+    for (Task member : job.createdTasks(id.occurrence(), id.step())) {
       if (member != ended && !ended.checkpoint().isEmpty()) {
         member.shareCheckpoint(ended.checkpoint());
       }
-      if (end.kind() == EndKind.DONE) {
-        member.finish();
-      }
+    }
+    if (end.kind() == EndKind.DONE) {
+      job.finishStep(id.occurrence(), id.step());
     }
   }
 
@@ -332,7 +334,9 @@
     Task task = currentTask(run);
     if (task != null && task.worker() != null) {
       task.giveUp();
-      closeIfFinished(jobs.get(run.task().job()));
+      Job job = jobs.get(run.task().job());
+      job.discardIfFinished(run.task().occurrence());
+      closeIfFinished(job);
     }
   }
 
@@ -389,7 +393,7 @@
   public List<Task> assignedTasks() {
     return openJobs.stream()
         .filter(Job::isAnyAssigned)
-        .flatMap(job -> job.tasks().stream())
+        .flatMap(job -> job.createdTasks().stream())
         .filter(task -> task.worker() != null)
         .toList();
   }
--- a/core/src/main/java/org/plantainknot/core/job/TaskCounts.java
+++ b/core/src/main/java/org/plantainknot/core/job/TaskCounts.java
@@ -4,9 +4,9 @@
 final class TaskCounts {
 
   private final TaskCounts parent;
-  private int unfinished;
-  private int waiting;
-  private int assigned;
+  private long unfinished;
+  private long waiting;
+  private long assigned;
 
   /**
    * Creates counts that are all zero.
@@ -17,12 +17,12 @@
     this.parent = parent;
   }
 
-  /** Counts a new task, which waits for a worker. */
-  void countNew() {
-    unfinished++;
-    waiting++;
+  /** Counts new tasks, which wait for a worker. */
+  void countNew(int tasks) {
+    unfinished += tasks;
+    waiting += tasks;
     if (parent != null) {
-      parent.countNew();
+      parent.countNew(tasks);
     }
   }
 
@@ -60,6 +60,11 @@
     return unfinished == 0;
   }
 
+  /** Returns the number of tasks that wait for a worker. */
+  long waiting() {
+    return waiting;
+  }
+
   /** Returns whether any task waits for a worker. */
   boolean isAnyWaiting() {
     return waiting > 0;
--- a/core/src/main/java/org/plantainknot/core/schedule/Maintainer.java
+++ b/core/src/main/java/org/plantainknot/core/schedule/Maintainer.java
@@ -5,6 +5,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import org.plantainknot.core.job.Job;
 import org.plantainknot.core.job.JobCommand;
 import org.plantainknot.core.job.JobCommand.OrderMachine;
 import org.plantainknot.core.job.JobCommand.SettleMachine;
@@ -292,12 +293,11 @@
   }
 
   private long countOtherUnavailableTasks(Task task, long nowMillis) {
-    return ledger
-        .job(task.id().job())
-        .orElseThrow()
-        .tasks(task.id().occurrence(), task.id().step())
-        .stream()
-        .filter(other -> other != task && !dispatcher.isOperational(other, nowMillis))
-        .count();
+    Job job = ledger.job(task.id().job()).orElseThrow();
+    long operational =
+        job.createdTasks(task.id().occurrence(), task.id().step()).stream()
+            .filter(other -> other != task && dispatcher.isOperational(other, nowMillis))
+            .count();
+    return task.step().count() - 1 - operational;
   }
 }
--- a/core/src/main/java/org/plantainknot/core/schedule/Planner.java
+++ b/core/src/main/java/org/plantainknot/core/schedule/Planner.java
@@ -4,6 +4,7 @@
 import java.util.Comparator;
 import java.util.HashMap;
 import java.util.HashSet;
+import java.util.Iterator;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
@@ -85,7 +86,8 @@
       List<Slot> slots = slotsByService.getOrDefault(group.job().service(), List.of());
       int placed = 0;
       if (planned.size() < MAX_ASSIGNMENTS) {
-        List<Assignment> assignments = place(group, slots, nowMillis);
+        int maxTasks = MAX_ASSIGNMENTS - planned.size();
+        List<Assignment> assignments = place(group, slots, maxTasks, nowMillis);
         placed = assignments.size();
         planned.addAll(assignments);
         requestAdvice(group, slots, placed, nowMillis);
@@ -112,7 +114,7 @@
    * task keeps its capacity indefinitely, so it counts as a whole worker.
    */
   private void recordShortage(Group group, int placed) {
-    long unplaced = group.waiting().size() - placed;
+    long unplaced = group.waiting() - placed;
     StepSpec step = group.spec();
     long milliCoresEach =
         step.persistent() ? largestWorkerMilliCores() : step.reserved().milliCores();
@@ -130,9 +132,9 @@
         .orElse(1);
   }
 
-  /** Waiting tasks of one step. */
+  /** Waiting tasks of one step, with the number of those that have no proposal. */
   private record Group(
-      Job job, int occurrence, int step, List<Task> waiting, Rank rank, boolean advised) {
+      Job job, int occurrence, int step, long waiting, Rank rank, boolean advised) {
 
     StepId id() {
       return new StepId(job.spec().id(), occurrence, step);
@@ -160,14 +162,13 @@
 
   private List<Group> waitingGroups(long wallMillis) {
     List<Group> groups = new ArrayList<>();
+    Map<StepId, Integer> proposed = countProposalsByStep();
     for (Job job : ledger.openJobs()) {
       if (!job.status().isEnded() && job.isAnyWaiting()) {
         QueueConfig queue = ledger.queue(job.spec().queue()).orElse(null);
-        for (int occurrence = 0; occurrence < job.occurrences(); occurrence++) {
-          if (job.spec().schedule().dueMillis(occurrence) <= wallMillis) {
-            Rank rank = rank(job, occurrence, queue, wallMillis);
-            addGroups(groups, job, occurrence, rank, isAdvised(queue));
-          }
+        for (int occurrence : job.dueOccurrences(wallMillis)) {
+          Rank rank = rank(job, occurrence, queue, wallMillis);
+          addGroups(groups, job, occurrence, rank, isAdvised(queue), proposed);
         }
       }
     }
@@ -179,15 +180,31 @@
     return queue != null && queue.advice().isRequired();
   }
 
-  private void addGroups(List<Group> groups, Job job, int occurrence, Rank rank, boolean advised) {
+  private Map<StepId, Integer> countProposalsByStep() {
+    Map<StepId, Integer> counts = new HashMap<>();
+    for (TaskId task : proposals.keySet()) {
+      Task known = ledger.task(task);
+      if (known != null && known.isWaiting()) {
+        counts.merge(task.stepId(), 1, Integer::sum);
+      }
+    }
+    return counts;
+  }
+
+  private void addGroups(
+      List<Group> groups,
+      Job job,
+      int occurrence,
+      Rank rank,
+      boolean advised,
+      Map<StepId, Integer> proposed) {
     for (int step = 0; step < job.spec().steps().size(); step++) {
-      if (job.isAnyWaiting(occurrence, step) && job.isStepReady(occurrence, step)) {
-        List<Task> waiting =
-            job.tasks(occurrence, step).stream()
-                .filter(task -> task.isWaiting() && !proposals.containsKey(task.id()))
-                .toList();
-        if (!waiting.isEmpty()) {
-          groups.add(new Group(job, occurrence, step, waiting, rank, advised));
+      long waiting = job.countWaiting(occurrence, step);
+      if (waiting > 0 && job.isStepReady(occurrence, step)) {
+        StepId id = new StepId(job.spec().id(), occurrence, step);
+        long unproposed = waiting - proposed.getOrDefault(id, 0);
+        if (unproposed > 0) {
+          groups.add(new Group(job, occurrence, step, unproposed, rank, advised));
         }
       }
     }
@@ -231,22 +248,30 @@
     return slotsByService;
   }
 
-  private List<Assignment> place(Group group, List<Slot> slots, long nowMillis) {
+  /**
+   * Assigns tasks of a group to workers that have room for them.
+   *
+   * @param maxTasks maximum number of tasks, unless the group is a gang
+   */
+  private List<Assignment> place(Group group, List<Slot> slots, int maxTasks, long nowMillis) {
+    boolean gang = group.spec().gang();
     List<Assignment> placed = new ArrayList<>();
     List<Slot> used = new ArrayList<>();
-    for (Task task : group.waiting()) {
-      Slot slot = bestSlot(group, slots, nowMillis);
-      if (slot == null) {
-        break;
+    Slot slot = bestSlot(group, slots, nowMillis);
+    Iterator<Task> waiting = group.job().waitingTasks(group.occurrence(), group.step());
+    while (slot != null && (gang || placed.size() < maxTasks) && waiting.hasNext()) {
+      Task task = waiting.next();
+      if (!proposals.containsKey(task.id())) {
+        slot.allocate(task.id(), task.step());
+        used.add(slot);
+        RunId run = new RunId(task.id(), nextRun(group, task));
+        placed.add(new Assignment(run, slot.worker().life()));
+        slot = bestSlot(group, slots, nowMillis);
       }
-      slot.allocate(task.id(), task.step());
-      used.add(slot);
-      placed.add(new Assignment(new RunId(task.id(), nextRun(group, task)), slot.worker().life()));
     }
-    if (group.spec().gang() && placed.size() < group.waiting().size()) {
+    if (gang && placed.size() < group.waiting()) {
       for (int i = 0; i < used.size(); i++) {
-        Task task = group.waiting().get(i);
-        used.get(i).release(task.id(), task.step());
+        used.get(i).release(placed.get(i).run().task(), group.spec());
       }
       return List.of();
     }
@@ -266,7 +291,7 @@
    * cached tickets.
    */
   private void requestAdvice(Group group, List<Slot> slots, int placed, long nowMillis) {
-    if (group.advised() && placed < group.waiting().size()) {
+    if (group.advised() && placed < group.waiting()) {
       List<WorkerIncarnation> candidates =
           slots.stream()
               .filter(slot -> slot.fits(group.id(), group.spec()))
@@ -283,7 +308,7 @@
       return task.run() + 1;
     }
     return 1
-        + group.job().tasks(group.occurrence(), group.step()).stream()
+        + group.job().createdTasks(group.occurrence(), group.step()).stream()
             .mapToInt(Task::run)
             .max()
             .orElse(0);
--- a/core/src/test/java/org/plantainknot/core/schedule/DispatchFuzzTest.java
+++ b/core/src/test/java/org/plantainknot/core/schedule/DispatchFuzzTest.java
@@ -157,7 +157,7 @@
   }
 
   private String unfinished(JobSpec job) {
-    return ledger.job(job.id()).orElseThrow().tasks().stream()
+    return ledger.job(job.id()).orElseThrow().createdTasks().stream()
         .filter(task -> !task.isDone())
         .map(task -> task.runId() + " on " + task.worker())
         .toList()
