Close idle connections of a stopping process, and answer what it still takes

Cause: after its notice the process waited until no request was in progress and then exited, but went on receiving requests meanwhile. LeaderClient kept those that came after its last round of answers as pending, and nobody gave them up.

Controllers stop in the same way.

Ruled out: waiting until the grace is over (requests still meet the end, and callers with pools keep dead connections); closing the server at once (it would cut requests in progress).

--- a/daemon/src/main/java/org/plantainknot/daemon/ClusterProcess.java
+++ b/daemon/src/main/java/org/plantainknot/daemon/ClusterProcess.java
@@ -35,6 +35,9 @@
   /** Part of the stop time that is reserved for the last answers and the exit of the process. */
   private static final long EXIT_RESERVE_MILLIS = 800;
 
+  /** Time for the next leader to answer what a stopping controller has passed on to it. */
+  private static final long CONTROL_ANSWERS_MILLIS = 500;
+
   /** Time for writing the answers to requests that were given up. */
   private static final long LAST_ANSWERS_MILLIS = 200;
 
@@ -107,19 +110,21 @@
     callers.announceClose();
     long deadlineMillis = startedAtMillis + settings.stopMillis() - EXIT_RESERVE_MILLIS;
     sleep(Math.min(STOP_NOTICE_MILLIS, deadlineMillis - startedAtMillis));
-    awaitAnswers(deadlineMillis);
+    callers.closeIdleConnections();
+    awaitAnswers(callers, deadlineMillis);
     gateway.failAllPending();
-    awaitAnswers(deadlineMillis + LAST_ANSWERS_MILLIS);
+    awaitAnswers(callers, deadlineMillis + LAST_ANSWERS_MILLIS);
     gateway.close();
   }
 
-  private void awaitAnswers(long deadlineMillis) {
-    while (callers.inProgress() > 0 && Clock.nowMillis() < deadlineMillis) {
+  private static void awaitAnswers(HttpListener listener, long deadlineMillis) {
+    while (listener.inProgress() > 0 && Clock.nowMillis() < deadlineMillis) {
       sleep(STOP_POLL_MILLIS);
     }
   }
 
   private void stopController() {
+    control.announceClose();
     try {
       controller
           .transferLeadership(RESIGN_TIMEOUT_MILLIS)
@@ -130,7 +135,10 @@
     } catch (ExecutionException | TimeoutException e) {
       logger.atWarning().log("resign-failed cause=%s", e);
     }
-    control.announceClose();
+    control.closeIdleConnections();
+    awaitAnswers(control, Clock.nowMillis() + CONTROL_ANSWERS_MILLIS);
+    controller.failAllPending();
+    awaitAnswers(control, Clock.nowMillis() + LAST_ANSWERS_MILLIS);
     controller.close();
   }
 
--- a/daemon/src/main/java/org/plantainknot/daemon/controller/ControllerNode.java
+++ b/daemon/src/main/java/org/plantainknot/daemon/controller/ControllerNode.java
@@ -173,6 +173,11 @@
         .start(stateMachine::prepareLeadershipTransfer, timeoutMillis);
   }
 
+  /** Answers all pending requests at once, and all later ones, without waiting for the leader. */
+  public void failAllPending() {
+    leaderClient.failAllPending();
+  }
+
   @Override
   public void close() {
     compactor.close();
--- a/daemon/src/main/java/org/plantainknot/daemon/gateway/GatewayNode.java
+++ b/daemon/src/main/java/org/plantainknot/daemon/gateway/GatewayNode.java
@@ -60,7 +60,7 @@
     stopping = true;
   }
 
-  /** Answers all pending requests at once, without waiting for the leader. */
+  /** Answers all pending requests at once, and all later ones, without waiting for the leader. */
   public void failAllPending() {
     leaderClient.failAllPending();
   }
--- a/daemon/src/main/java/org/plantainknot/daemon/leader/LeaderClient.java
+++ b/daemon/src/main/java/org/plantainknot/daemon/leader/LeaderClient.java
@@ -101,6 +101,7 @@
   private long nextId = ThreadLocalRandom.current().nextLong(1L << 62);
 
   private long leaderUnreachableSinceMillis;
+  private boolean stopping;
 
   /**
    * Creates a client.
@@ -131,8 +132,10 @@
     Pending pending =
         new Pending(request, nowMillis, Math.max(1, timeoutMillis - REPLY_MARGIN_MILLIS));
     long id = nextId++;
-    send(id, pending, nowMillis);
-    if (isUnsendable(pending, nowMillis)) {
+    if (!stopping) {
+      send(id, pending, nowMillis);
+    }
+    if (stopping || isUnsendable(pending, nowMillis)) {
       giveUp(pending, nowMillis);
     } else {
       pendingById.put(id, pending);
@@ -234,10 +237,14 @@
     expired.forEach(pending -> giveUp(pending, nowMillis));
   }
 
-  /** Gives up all pending requests because the process is stopping. */
+  /**
+   * Gives up all pending requests because the process is stopping. Later requests are rejected at
+   * once, since the process may end before the leader replies.
+   */
   public void failAllPending() {
     List<Pending> abandoned;
     synchronized (this) {
+      stopping = true;
       abandoned = List.copyOf(pendingById.values());
       pendingById.clear();
     }
--- a/daemon/src/test/java/org/plantainknot/daemon/leader/LeaderClientTest.java
+++ b/daemon/src/test/java/org/plantainknot/daemon/leader/LeaderClientTest.java
@@ -60,6 +60,18 @@
     assertTrue(reply.join() instanceof Reply.Unavailable);
   }
 
+  /**
+   * Guards against requests that a stopping process takes after its last round and never answers.
+   */
+  @Test
+  void aStoppingProcessRejectsRequestsThatComeAfterItGaveUpTheOthers() {
+    client.updateLeader(new LeaderView("c1", 1, ""));
+    client.failAllPending();
+    CompletableFuture<Reply> reply = call(10_000);
+    assertTrue(reply.getNow(null) instanceof Reply.Unavailable);
+    assertTrue(receivers.isEmpty(), "the answer says that the request has not run");
+  }
+
   @Test
   void aStoppingProcessAnswersSentRequestsAsOutcomeUnknown() {
     client.updateLeader(new LeaderView("c1", 1, ""));
