Start a gang again only as a whole, and stop the rest of one that lost a member

Cause: Planner.addGroups took the members that happened to wait for the whole gang. The members of a broken run end at different moments, so each was planned by itself, with the next run number, and never met the others again.

Change: a gang is planned only when all its members wait. While one waits, the others can't work any more and are stopped at once.

Ruled out: one run number for parts that are started at different moments (the members that came first end alone before the last has room); waiting for the timeout of the rest (3 s of idle room, and runs that end alone).

--- a/core/src/main/java/org/plantainknot/core/job/Job.java
+++ b/core/src/main/java/org/plantainknot/core/job/Job.java
@@ -160,7 +160,7 @@
 
   /** Returns the number of tasks of the step that wait for a worker. */
   public long countWaiting(int occurrence, int step) {
-    return counts(occurrence, step).waiting();
+    return finishedOccurrences.contains(occurrence) ? 0 : counts(occurrence, step).waiting();
   }
 
   /** Returns a task, or null if it has not been created or its occurrence is finished. */
--- a/core/src/main/java/org/plantainknot/core/schedule/Dispatcher.java
+++ b/core/src/main/java/org/plantainknot/core/schedule/Dispatcher.java
@@ -4,6 +4,7 @@
 import java.util.function.Consumer;
 import org.plantainknot.core.job.Assignment;
 import org.plantainknot.core.job.EndKind;
+import org.plantainknot.core.job.Job;
 import org.plantainknot.core.job.JobCommand;
 import org.plantainknot.core.job.JobCommand.Assign;
 import org.plantainknot.core.job.JobCommand.GiveUpRuns;
@@ -12,6 +13,7 @@
 import org.plantainknot.core.job.RunEnd;
 import org.plantainknot.core.job.RunId;
 import org.plantainknot.core.job.Task;
+import org.plantainknot.core.job.TaskId;
 import org.plantainknot.core.job.WorkerIncarnation;
 import org.plantainknot.core.schedule.TrackedRun.Phase;
 
@@ -298,11 +300,9 @@
         && nowMillis - run.progressAtMillis() > STALL_TIMEOUT_MILLIS;
   }
 
-  /** Stops a run whose job has ended, and sends or retries its pending order when due. */
+  /** Stops a run that can't be of use any more, and sends or retries its pending order when due. */
   private void advanceRun(TrackedRun run, long nowMillis) {
-    boolean jobEnded =
-        ledger.job(run.id().task().job()).map(job -> job.status().isEnded()).orElse(true);
-    if (jobEnded && !run.isEnding()) {
+    if (!run.isEnding() && isObsolete(run)) {
       run.enter(Phase.STOPPING, nowMillis);
     }
     if (!run.isOrderDue(nowMillis, timing.retryMillis())) {
@@ -318,6 +318,21 @@
     }
   }
 
+  /** Returns whether the run's job has ended, or the run is the rest of a gang. */
+  private boolean isObsolete(TrackedRun run) {
+    Job job = ledger.job(run.id().task().job()).orElse(null);
+    return job == null || job.status().isEnded() || isRestOfGang(run, job);
+  }
+
+  /**
+   * Returns whether another member of the run's gang waits for a worker. The members of a gang are
+   * assigned together, so the run of that member has ended, and this one can't work without it.
+   */
+  private static boolean isRestOfGang(TrackedRun run, Job job) {
+    TaskId task = run.id().task();
+    return run.task().step().gang() && job.countWaiting(task.occurrence(), task.step()) > 0;
+  }
+
   private void onAssigned(Assignment assignment, long nowMillis) {
     Task task = ledger.task(assignment.run().task());
     boolean valid =
--- a/core/src/main/java/org/plantainknot/core/schedule/Planner.java
+++ b/core/src/main/java/org/plantainknot/core/schedule/Planner.java
@@ -203,13 +203,18 @@
       if (waiting > 0 && job.isStepReady(occurrence, step)) {
         StepId id = new StepId(job.spec().id(), occurrence, step);
         long unproposed = waiting - proposed.getOrDefault(id, 0);
-        if (unproposed > 0) {
+        if (isPlannable(job.spec().steps().get(step), unproposed)) {
           groups.add(new Group(job, occurrence, step, unproposed, rank, advised));
         }
       }
     }
   }
 
+  /** A gang is planned only as a whole: its members work together under one run number. */
+  private static boolean isPlannable(StepSpec step, long waiting) {
+    return step.gang() ? waiting == step.count() : waiting > 0;
+  }
+
   private Rank rank(Job job, int occurrence, QueueConfig queue, long wallMillis) {
     LongUnaryOperator expectedMillis =
         estimate -> dispatcher.durationEstimator().expectedMillis(job.spec().queue(), estimate);
--- a/core/src/test/java/org/plantainknot/core/schedule/LeaderFixture.java
+++ b/core/src/test/java/org/plantainknot/core/schedule/LeaderFixture.java
@@ -23,7 +23,7 @@
   static final double STRETCH = 2;
   static final long TARGET_LATENCY_MILLIS = 1_000;
 
-  private static final DispatchTiming TIMING =
+  static final DispatchTiming TIMING =
       new DispatchTiming(6_000, 1_000, 400, 900, 3_000, 2_000, 4_500);
 
   final JobLedger ledger = new JobLedger();
--- a/core/src/test/java/org/plantainknot/core/schedule/PartialReportTest.java
+++ b/core/src/test/java/org/plantainknot/core/schedule/PartialReportTest.java
@@ -23,8 +23,6 @@
   private static final int TASKS = 6;
   private static final int MAX_LISTED_ENDS = 2;
   private static final int MAX_REPORTS = 20;
-  private static final DispatchTiming TIMING =
-      new DispatchTiming(6_000, 1_000, 400, 900, 3_000, 2_000, 4_500);
   private static final WorkerIncarnation INCARNATION = new WorkerIncarnation("w", 1);
   private static final WorkerTarget TARGET = new WorkerTarget(INCARNATION, "w:1");
 
@@ -52,7 +50,8 @@
    */
   @Test
   void newLeaderGivesUpNoRunWhoseEndAPartialReportMayOmit() {
-    dispatcher = new Dispatcher(leader.ledger, leader.directory, TIMING, 2, leader.nowMillis);
+    dispatcher =
+        new Dispatcher(leader.ledger, leader.directory, LeaderFixture.TIMING, 2, leader.nowMillis);
     endAllRunsLastStartedFirst();
     collectEndsWhileStartsAreAnswered(CallOutcome.OLD);
     assertEquals(givenUp, List.of());
@@ -92,7 +91,8 @@
 
   @Test
   void runThatACompleteReportDoesNotListIsGivenUpOnceItsStartIsRefusedAsOld() {
-    dispatcher = new Dispatcher(leader.ledger, leader.directory, TIMING, 2, leader.nowMillis);
+    dispatcher =
+        new Dispatcher(leader.ledger, leader.directory, LeaderFixture.TIMING, 2, leader.nowMillis);
     collectEndsWhileStartsAreAnswered(CallOutcome.OLD);
     assertEquals(givenUp.size(), TASKS);
   }
