Don't take a worker for ended because another one names its address

Cause: WorkerDirectory kept the latest start time by address, of any check-in that could be decoded, and isSuperseded took every earlier incarnation at that address for ended, though it answered all the while.

Evidence: DispatcherTest.runIsNotGivenUpBecauseAnotherWorkerNamesTheAddressOfItsWorker failed before (the run was given up) and holds.

--- a/core/src/main/java/org/plantainknot/core/schedule/WorkerDirectory.java
+++ b/core/src/main/java/org/plantainknot/core/schedule/WorkerDirectory.java
@@ -29,7 +29,6 @@
   private final Map<String, WorkerHeartbeat> heartbeats = new TreeMap<>();
   private final Map<String, Long> lastHeartbeatAtMillis = new HashMap<>();
   private final Map<String, Long> leftAtMillis = new HashMap<>();
-  private final Map<String, Long> latestBornMillisByAddress = new HashMap<>();
 
   /**
    * Records a heartbeat, unless it is older than the recorded one or its incarnation has just left.
@@ -44,7 +43,6 @@
       return false;
     }
     heartbeats.put(worker, heartbeat);
-    latestBornMillisByAddress.merge(heartbeat.address(), heartbeat.life().bornMillis(), Math::max);
     lastHeartbeatAtMillis.put(worker, nowMillis);
     return true;
   }
@@ -57,7 +55,6 @@
     WorkerHeartbeat known = heartbeats.get(restarted.worker());
     if (known != null && known.life().isEarlierThan(restarted)) {
       heartbeats.put(restarted.worker(), known.restartedAs(restarted));
-      latestBornMillisByAddress.merge(known.address(), restarted.bornMillis(), Math::max);
     }
   }
 
@@ -109,12 +106,11 @@
 
   /**
    * Returns whether an incarnation is guaranteed to have ended, because a later one exists for its
-   * worker or its address.
+   * worker. A heartbeat of another worker with the same address proves nothing: if the address is
+   * in use again, its new owner refuses the next call.
    */
-  public boolean isSuperseded(WorkerIncarnation incarnation, String address) {
+  public boolean isSuperseded(WorkerIncarnation incarnation) {
     WorkerHeartbeat known = heartbeats.get(incarnation.worker());
-    boolean restarted = known != null && known.life().bornMillis() > incarnation.bornMillis();
-    return restarted
-        || latestBornMillisByAddress.getOrDefault(address, 0L) > incarnation.bornMillis();
+    return known != null && known.life().bornMillis() > incarnation.bornMillis();
   }
 }
--- a/core/src/main/java/org/plantainknot/core/schedule/WorkerSessions.java
+++ b/core/src/main/java/org/plantainknot/core/schedule/WorkerSessions.java
@@ -116,16 +116,10 @@
     if (session.hasEnded() || session.isLeaseExpired(nowMillis)) {
       return true;
     }
-    String address =
-        directory
-            .find(incarnation.worker())
-            .filter(worker -> worker.life().equals(incarnation))
-            .map(WorkerHeartbeat::address)
-            .orElse("");
     boolean left =
         directory.hasLeftBy(incarnation, nowMillis - LEAVE_GRACE_MILLIS)
             && of(incarnation).hasFailed();
-    if (left || directory.isSuperseded(incarnation, address)) {
+    if (left || directory.isSuperseded(incarnation)) {
       session.markEnded();
     }
     return session.hasEnded();
--- a/core/src/test/java/org/plantainknot/core/schedule/DispatcherTest.java
+++ b/core/src/test/java/org/plantainknot/core/schedule/DispatcherTest.java
@@ -89,6 +89,18 @@
     assertTrue(givenUpAtMillis >= 1_000, "at " + givenUpAtMillis);
   }
 
+  /** Guards against work that runs twice because another writer gave the address of its worker. */
+  @Test
+  void runIsNotGivenUpBecauseAnotherWorkerNamesTheAddressOfItsWorker() {
+    start(false);
+    reportRunning();
+    WorkerIncarnation other = new WorkerIncarnation("agent", 1_000_000);
+    directory.recordHeartbeat(heartbeat(other, WorkerPhase.READY, 1), nowMillis);
+    nowMillis += STEP_MILLIS;
+    List<Action> actions = reportAndTick(List.of(new ListedRun(RUN, "", 50, 0)));
+    assertFalse(stops(actions) || givesUp(actions), actions.toString());
+  }
+
   @Test
   void persistentRunIsStoppedOnADrainingWorker() {
     start(true);
