Ignore a check-in for a service that no configuration names

What callers could see: a check-in of another writer under the id of a worker replaced its incarnation; the worker's own check-ins then counted as older, and its work was started elsewhere. One under another id was called as a worker each second.

Cause: the leader recorded each check-in that could be decoded, whatever its service.

Change: such a check-in is answered, logged each 10 s at the most, and neither adds a worker nor replaces an incarnation. A known worker whose service is removed is followed further, and before the first configuration every service counts.

--- a/core/src/main/java/org/plantainknot/core/job/JobLedger.java
+++ b/core/src/main/java/org/plantainknot/core/job/JobLedger.java
@@ -93,6 +93,15 @@
     return queues.find(name);
   }
 
+  /**
+   * Returns whether the configuration in force names a service. Before the first configuration any
+   * service may be one.
+   */
+  public boolean mayHaveWorkers(String service) {
+    return config.isNone()
+        || config.services().stream().anyMatch(known -> known.name().equals(service));
+  }
+
   /** Returns the time of the replicated log, which is monotonic. */
   public long clockMillis() {
     return clockMillis;
--- a/daemon/src/main/java/org/plantainknot/daemon/controller/CallHandler.java
+++ b/daemon/src/main/java/org/plantainknot/daemon/controller/CallHandler.java
@@ -2,8 +2,11 @@
 
 import com.google.common.flogger.FluentLogger;
 import com.google.protobuf.ByteString;
+import java.util.Optional;
+import java.util.concurrent.TimeUnit;
 import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
+import java.util.function.Predicate;
 import org.plantainknot.core.call.Reply;
 import org.plantainknot.core.call.Request;
 import org.plantainknot.core.error.PlantainknotException;
@@ -28,9 +31,13 @@
 
   private static final FluentLogger logger = FluentLogger.forEnclosingClass();
 
+  /** Minimum interval of the log lines on heartbeats that are ignored. */
+  private static final int LOG_INTERVAL_SECONDS = 10;
+
   private final BooleanSupplier acceptsRequests;
   private final WorkerDirectory directory;
   private final RequestProcessor requestProcessor;
+  private final Predicate<String> serviceKnown;
   private final String heartbeatAddress;
   private final Consumer<FrameProto> broadcaster;
   private final HeartbeatFilter heartbeatFilter = new HeartbeatFilter();
@@ -39,6 +46,7 @@
    * Creates the handler.
    *
    * @param acceptsRequests returns whether this member serves as leader and accepts requests
+   * @param serviceKnown tests whether a service may have workers
    * @param heartbeatAddress address at which this member receives heartbeats, or an empty string
    * @param broadcaster sends a frame to all other controllers
    */
@@ -46,11 +54,13 @@
       BooleanSupplier acceptsRequests,
       WorkerDirectory directory,
       RequestProcessor requestProcessor,
+      Predicate<String> serviceKnown,
       String heartbeatAddress,
       Consumer<FrameProto> broadcaster) {
     this.acceptsRequests = acceptsRequests;
     this.directory = directory;
     this.requestProcessor = requestProcessor;
+    this.serviceKnown = serviceKnown;
     this.heartbeatAddress = heartbeatAddress;
     this.broadcaster = broadcaster;
   }
@@ -115,8 +125,20 @@
     }
   }
 
+  /**
+   * Records a heartbeat. One for a service that no configuration names comes from another writer,
+   * or from a worker whose service was removed: it neither adds a worker nor replaces an
+   * incarnation.
+   */
   private void onHeartbeat(WorkerHeartbeat heartbeat) {
-    boolean known = directory.find(heartbeat.life().worker()).isPresent();
+    Optional<WorkerHeartbeat> latest = directory.find(heartbeat.life().worker());
+    boolean knownLife = latest.filter(known -> known.life().equals(heartbeat.life())).isPresent();
+    if (!knownLife && !serviceKnown.test(heartbeat.service())) {
+      logger.atInfo().atMostEvery(LOG_INTERVAL_SECONDS, TimeUnit.SECONDS).log(
+          "heartbeat-ignored service=%s worker=%s", heartbeat.service(), heartbeat.life().worker());
+      return;
+    }
+    boolean known = latest.isPresent();
     directory.recordHeartbeat(heartbeat, Clock.nowMillis());
     if (!known) {
       logger.atInfo().log("worker-seen heartbeat=%s", heartbeat);
--- a/daemon/src/main/java/org/plantainknot/daemon/controller/ControllerNode.java
+++ b/daemon/src/main/java/org/plantainknot/daemon/controller/ControllerNode.java
@@ -125,6 +125,7 @@
             stateMachine::acceptsRequests,
             directory,
             requestProcessor,
+            ledger::mayHaveWorkers,
             settings.controlAddress().orElse(""),
             this::sendToControllers);
     this.driver =
--- a/daemon/src/test/java/org/plantainknot/daemon/controller/MalformedFrameTest.java
+++ b/daemon/src/test/java/org/plantainknot/daemon/controller/MalformedFrameTest.java
@@ -37,7 +37,7 @@
     RequestProcessor processor =
         new RequestProcessor(
             new JobLedger(), command -> 1, new DecisionMetrics(new MetricRegistry()));
-    handler = new CallHandler(() -> true, directory, processor, "", frame -> {});
+    handler = new CallHandler(() -> true, directory, processor, service -> true, "", frame -> {});
   }
 
   @Test
