Start a persistent gang again after its run has ended as done

Cause: one end of a gang stands for all its members, and JobLedger.recordGangEnd marked them as done without looking whether the step lasts, which Task.end does for other tasks.

Evidence: GangTest.aPersistentGangIsStartedAgainAfterItsRunIsDone failed before (COMPLETED for RUNNING) and holds.

--- a/core/src/main/java/org/plantainknot/core/job/JobLedger.java
+++ b/core/src/main/java/org/plantainknot/core/job/JobLedger.java
@@ -330,7 +330,7 @@
         member.shareCheckpoint(ended.checkpoint());
       }
     }
-    if (end.kind() == EndKind.DONE) {
+    if (end.kind() == EndKind.DONE && !ended.step().persistent()) {
       job.finishStep(id.occurrence(), id.step());
     }
   }
--- a/core/src/test/java/org/plantainknot/core/schedule/GangTest.java
+++ b/core/src/test/java/org/plantainknot/core/schedule/GangTest.java
@@ -99,6 +99,16 @@
     assertEquals(leader.ledger.job("j").orElseThrow().status(), JobStatus.COMPLETED);
   }
 
+  /** Guards against a gang that should last and is shown as completed after one end. */
+  @Test
+  void aPersistentGangIsStartedAgainAfterItsRunIsDone() {
+    leader.submit("k", "s", LeaderFixture.step(2, 1_000).gang(true).persistent(true).build());
+    List<Assignment> lasting = leader.planAndAssign();
+    lasting.forEach(member -> end(member, EndKind.DONE));
+    assertEquals(leader.ledger.job("k").orElseThrow().status(), JobStatus.RUNNING);
+    assertEquals(runNumbers(leader.planAndAssign()), List.of(2, 2));
+  }
+
   @Test
   void aGangIsNotProposedInPartsWhileItsAssignmentIsNotCommitted() {
     leader.submit("k", "s", LeaderFixture.step(MEMBERS, 1_000).gang(true).build());
