--- a/core/src/main/java/org/plantainknot/core/schedule/TrackedRun.java
+++ b/core/src/main/java/org/plantainknot/core/schedule/TrackedRun.java
@@ -40,6 +40,7 @@
   private long startSentAtMillis;
   private double percent;
   private long progressAtMillis;
+  private long millisPerPercent;
 
   TrackedRun(Task task, WorkerIncarnation incarnation, Phase phase, long nowMillis) {
     this.task = task;
@@ -169,11 +170,19 @@
 
   void recordProgress(double reported, long nowMillis) {
     if (reported != percent) {
+      if (reported > percent) {
+        millisPerPercent = (long) ((nowMillis - progressAtMillis) / (reported - percent));
+      }
       percent = reported;
       progressAtMillis = nowMillis;
     }
   }
 
+  /** Returns how long the latest progress took for each percent, or 0 if there was none. */
+  long millisPerPercent() {
+    return millisPerPercent;
+  }
+
   double percent() {
     return percent;
   }
