Open no further occurrences while earlier ones find no room

Cause: Job.dueOccurrences bounded the occurrences that were not opened yet, and planning opened them. While nothing had room, each round opened eight more, so that a job with many due times took more and more memory after all.

Now a further occurrence is opened only while fewer than eight of the due ones have all their tasks waiting.

--- a/core/src/main/java/org/plantainknot/core/job/Job.java
+++ b/core/src/main/java/org/plantainknot/core/job/Job.java
@@ -16,8 +16,8 @@
  */
 public final class Job {
 
-  /** Maximum number of due occurrences without any task that are considered at the same time. */
-  private static final int MAX_UNOPENED_DUE = 8;
+  /** Maximum number of due occurrences all of whose tasks wait, for a further one to be opened. */
+  private static final int MAX_WAITING_DUE = 8;
 
   /**
    * Copy of a job for snapshots.
@@ -100,24 +100,24 @@
   }
 
   /**
-   * Returns the occurrences that are due and have tasks that wait for a worker: those that have
-   * started, and the first few others.
+   * Returns the occurrences that are due and have tasks that wait for a worker: those that were
+   * opened, and further ones if only a few of them have no task at work.
    */
   public List<Integer> dueOccurrences(long wallMillis) {
     List<Integer> due = new ArrayList<>();
-    openOccurrences.forEach(
-        (number, occurrence) -> {
-          if (occurrence.isAnyWaiting() && isDue(number, wallMillis)) {
-            due.add(number);
-          }
-        });
-    int unopened = 0;
+    int allWaiting = 0;
+    for (Map.Entry<Integer, Occurrence> open : openOccurrences.entrySet()) {
+      if (open.getValue().isAnyWaiting() && isDue(open.getKey(), wallMillis)) {
+        due.add(open.getKey());
+        allWaiting += open.getValue().isAllWaiting() ? 1 : 0;
+      }
+    }
     for (int number = finishedOccurrences.below();
-        unopened < MAX_UNOPENED_DUE && number < occurrences() && isDue(number, wallMillis);
+        allWaiting < MAX_WAITING_DUE && number < occurrences() && isDue(number, wallMillis);
         number++) {
       if (!openOccurrences.containsKey(number) && !finishedOccurrences.contains(number)) {
         due.add(number);
-        unopened++;
+        allWaiting++;
       }
     }
     return due;
--- a/core/src/main/java/org/plantainknot/core/job/Occurrence.java
+++ b/core/src/main/java/org/plantainknot/core/job/Occurrence.java
@@ -7,6 +7,7 @@
 final class Occurrence {
 
   private final TaskCounts counts;
+  private final long tasks;
   private final List<StepTasks> steps = new ArrayList<>();
 
   Occurrence(JobSpec job, int number, TaskCounts jobCounts) {
@@ -15,6 +16,7 @@
       StepId id = new StepId(job.id(), number, step);
       steps.add(new StepTasks(id, job.steps().get(step), counts));
     }
+    tasks = counts.waiting();
   }
 
   StepTasks step(int number) {
@@ -30,6 +32,11 @@
     return counts.isAnyWaiting();
   }
 
+  /** Returns whether all tasks wait for a worker. */
+  boolean isAllWaiting() {
+    return counts.waiting() == tasks;
+  }
+
   /** Returns whether all tasks are done and none has a run that may still be running. */
   boolean isFinished() {
     return counts.isDone() && !counts.isAnyAssigned();
--- a/core/src/test/java/org/plantainknot/core/schedule/LargeNumbersTest.java
+++ b/core/src/test/java/org/plantainknot/core/schedule/LargeNumbersTest.java
@@ -27,6 +27,7 @@
 public class LargeNumbersTest {
 
   private static final int MAX_PLANNED = 200;
+  private static final int MAX_CONSIDERED = 8;
   private static final WorkerIncarnation WORKER = new WorkerIncarnation("w", 1);
 
   private LeaderFixture leader;
@@ -58,6 +59,16 @@
     assertEquals(planAndEnd(), List.of(run(1, 0), run(1, 1)));
   }
 
+  @Test
+  void dueOccurrencesThatFindNoRoomDontAddUp() {
+    submit(new Schedule(Integer.MAX_VALUE, 0, 1), LeaderFixture.step(2, 20_000).build());
+    for (int round = 0; round < 100; round++) {
+      assertEquals(leader.planAndAssign(), List.of());
+    }
+    int considered = leader.ledger.job("j").orElseThrow().dueOccurrences(leader.nowMillis).size();
+    assertTrue(considered <= MAX_CONSIDERED, considered + " occurrences");
+  }
+
   @Test
   void aStepOfBillionsOfTasksRunsThemAsRoomAllows() {
     submit(Schedule.NOW, LeaderFixture.step(Integer.MAX_VALUE, 8_000).build());
