--- a/core/src/main/java/org/plantainknot/core/schedule/Planner.java
+++ b/core/src/main/java/org/plantainknot/core/schedule/Planner.java
@@ -259,10 +259,13 @@
    * @param maxTasks maximum number of tasks, unless the group is a gang
    */
   private List<Assignment> place(Group group, List<Slot> slots, int maxTasks, long nowMillis) {
+    Slot slot = bestSlot(group, slots, nowMillis);
+    if (slot == null) {
+      return List.of();
+    }
     boolean gang = group.spec().gang();
     List<Assignment> placed = new ArrayList<>();
     List<Slot> used = new ArrayList<>();
-    Slot slot = bestSlot(group, slots, nowMillis);
     Iterator<Task> waiting = group.job().waitingTasks(group.occurrence(), group.step());
     while (slot != null && (gang || placed.size() < maxTasks) && waiting.hasNext()) {
       Task task = waiting.next();
--- a/daemon/src/test/java/org/plantainknot/daemon/control/StateCodecTest.java
+++ b/daemon/src/test/java/org/plantainknot/daemon/control/StateCodecTest.java
@@ -2,6 +2,10 @@
 
 import static org.testng.Assert.assertEquals;
 
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import com.fasterxml.jackson.dataformat.cbor.CBORFactory;
+import java.io.IOException;
 import java.util.List;
 import org.plantainknot.core.claim.Claim;
 import org.plantainknot.core.claim.ClaimKey;
@@ -13,6 +17,11 @@
 import org.plantainknot.core.control.MoveStep;
 import org.plantainknot.core.fleet.Announcement;
 import org.plantainknot.core.fleet.FailureDomain;
+import org.plantainknot.core.job.Job;
+import org.plantainknot.core.job.JobSpec;
+import org.plantainknot.core.job.JobStatus;
+import org.plantainknot.core.job.Schedule;
+import org.plantainknot.core.job.StepSpec;
 import org.plantainknot.core.ticket.Decision;
 import org.plantainknot.core.ticket.Ticket;
 import org.plantainknot.core.ticket.Ticket.PoolState;
@@ -78,4 +87,28 @@
     restored.restore(StateCodec.decodeImage(encoded));
     assertEquals(StateCodec.encode(restored.image()), encoded);
   }
+
+  /** Guards against controllers that can't start from the snapshots of the build before. */
+  @Test
+  void aJobOfAnEarlierBuildIsDecodedWithoutFinishedOccurrences() throws IOException {
+    Job.Image image =
+        new Job.Image(
+            new JobSpec("j", "q", "p", List.of(StepSpec.builder().build()), Schedule.NOW),
+            "s",
+            1,
+            JobStatus.QUEUED,
+            0,
+            4,
+            List.of(6),
+            List.of());
+    byte[] encoded = StateCodec.write(image);
+    assertEquals(StateCodec.read(encoded, Job.Image.class), image);
+    ObjectMapper mapper = new ObjectMapper(new CBORFactory());
+    ObjectNode earlier = (ObjectNode) mapper.readTree(encoded);
+    earlier.remove(List.of("finishedBelow", "finishedOthers"));
+    Job.Image decoded = StateCodec.read(mapper.writeValueAsBytes(earlier), Job.Image.class);
+    assertEquals(decoded.finishedBelow(), 0);
+    assertEquals(decoded.finishedOthers(), List.of());
+    assertEquals(decoded.spec(), image.spec());
+  }
 }
