--- a/core/src/test/java/org/plantainknot/core/schedule/DispatchFuzzTest.java
+++ b/core/src/test/java/org/plantainknot/core/schedule/DispatchFuzzTest.java
@@ -22,6 +22,7 @@
 import org.plantainknot.core.job.JobSpec;
 import org.plantainknot.core.job.JobStatus;
 import org.plantainknot.core.job.QueueConfig;
+import org.plantainknot.core.job.Schedule;
 import org.plantainknot.core.job.ServiceConfig;
 import org.plantainknot.core.job.WorkerIncarnation;
 import org.plantainknot.core.placement.Resources;
@@ -36,6 +37,7 @@
 public class DispatchFuzzTest {
 
   private static final int SEEDS = 150;
+  private static final int SCHEDULE_SEEDS = 40;
   private static final int WORKERS = 4;
   private static final int JOBS = 25;
   private static final long FAULTS_END_MILLIS = 30_000;
@@ -43,6 +45,8 @@
   private static final long COMMIT_MILLIS = 12;
   private static final long SLOW_COMMIT_MILLIS = 4_000;
   private static final int FEW_ENDS = 2;
+  private static final int MAX_OCCURRENCES = 4;
+  private static final long MAX_INTERVAL_MILLIS = 2_000;
   private static final Resources CAPACITY = new Resources(8_000, 16_000, 0);
 
   private record Event(long atMillis, long order, Runnable task) {}
@@ -59,6 +63,7 @@
   private long term;
   private boolean commitsSlowly;
   private int maxListedEnds;
+  private boolean schedulesJobs;
   private long lastCommitAtMillis;
   private DispatchOracle oracle;
   private List<FakeWorker> workers;
@@ -86,6 +91,13 @@
         .toArray(Object[][]::new);
   }
 
+  @DataProvider
+  Object[][] scheduleSeeds() {
+    return IntStream.rangeClosed(1, SCHEDULE_SEEDS)
+        .mapToObj(seed -> new Object[] {seed})
+        .toArray(Object[][]::new);
+  }
+
   @DataProvider
   Object[][] unannouncedRestartSeeds() {
     Stream<Object[]> seeds =
@@ -101,8 +113,9 @@
   }
 
   @BeforeMethod
-  void listAllEnds() {
+  void chooseDefaults() {
     maxListedEnds = Integer.MAX_VALUE;
+    schedulesJobs = false;
   }
 
   @Test(dataProvider = "lateRenewalSeeds")
@@ -137,6 +150,14 @@
     runToCompletion(seed);
   }
 
+  /** Guards against occurrences that are lost or run again over snapshots and leaders. */
+  @Test(dataProvider = "scheduleSeeds")
+  void eachOccurrenceOfAScheduledJobRunsOnceOverSnapshots(int seed) {
+    commitsSlowly = seed % 2 == 0;
+    schedulesJobs = true;
+    runToCompletion(seed);
+  }
+
   private void runToCompletion(int seed) {
     reset(seed);
     while (!events.isEmpty() && nowMillis < END_MILLIS) {
@@ -197,7 +218,8 @@
     every(20, 0, () -> dispatcher.tick(nowMillis));
     every(10, 5, this::advanceAll);
     for (int i = 0; i < JOBS; i++) {
-      JobSpec job = RandomJobs.next(random, "j" + i);
+      JobSpec plain = RandomJobs.next(random, "j" + i);
+      JobSpec job = schedulesJobs ? withSchedule(plain) : plain;
       jobs.add(job);
       at(random.nextLong(FAULTS_END_MILLIS), () -> submit(job));
     }
@@ -206,6 +228,15 @@
     }
   }
 
+  private JobSpec withSchedule(JobSpec job) {
+    Schedule schedule =
+        new Schedule(
+            random.nextInt(1, MAX_OCCURRENCES + 1),
+            random.nextLong(FAULTS_END_MILLIS),
+            random.nextLong(MAX_INTERVAL_MILLIS));
+    return new JobSpec(job.id(), job.queue(), job.payload(), job.steps(), schedule);
+  }
+
   private void submit(JobSpec job) {
     oracle.submitted(job);
     ledger.apply(nowMillis, new JobCommand.Submit(job));
@@ -242,6 +273,9 @@
     int committed = random.nextInt(uncommitted.size() + 1);
     List.copyOf(uncommitted).subList(0, committed).forEach(this::apply);
     uncommitted.clear();
+    if (schedulesJobs) {
+      ledger.restore(ledger.image());
+    }
     dispatcher =
         new Dispatcher(
             ledger,
--- a/core/src/test/java/org/plantainknot/core/schedule/DispatchOracle.java
+++ b/core/src/test/java/org/plantainknot/core/schedule/DispatchOracle.java
@@ -55,6 +55,9 @@
     assertTrue(everStarted.add(run), "a run started twice: " + run);
     assertFalse(running.containsKey(task), "two runs at once: " + run + " " + running.get(task));
     assertFalse(doneAndCommitted.contains(task), "started after its end was committed: " + run);
+    assertTrue(
+        nowMillis >= job.schedule().dueMillis(task.occurrence()),
+        "started before its time: " + run);
     for (int earlier : step.dependsOn()) {
       for (int index = 0; index < job.steps().get(earlier).count(); index++) {
         assertTrue(
@@ -102,10 +105,12 @@
   }
 
   public void assertCompleted(JobSpec job) {
-    for (int step = 0; step < job.steps().size(); step++) {
-      for (int index = 0; index < job.steps().get(step).count(); index++) {
-        TaskId task = new TaskId(job.id(), 0, step, index);
-        assertTrue(doneSomewhere.contains(task), "completed without " + task);
+    for (int occurrence = 0; occurrence < job.schedule().occurrences(); occurrence++) {
+      for (int step = 0; step < job.steps().size(); step++) {
+        for (int index = 0; index < job.steps().get(step).count(); index++) {
+          TaskId task = new TaskId(job.id(), occurrence, step, index);
+          assertTrue(doneSomewhere.contains(task), "completed without " + task);
+        }
       }
     }
     assertEquals(jobs.get(job.id()), job);
