--- a/review/6/ManyChanges.java
+++ b/review/6/ManyChanges.java
@@ -10,7 +10,7 @@
 
   private static final int ROUTES = 1_000;
   private static final int CHANGES = 270;
-  private static final long GAP_MILLIS = 80;
+  private static final long GAP_MILLIS = 200;
   private static final long READ_MILLIS = 10_000;
   private static final long RECOVER_MILLIS = 12_000;
 
