--- a/core/src/main/java/org/plantainknot/core/replica/Replica.java
+++ b/core/src/main/java/org/plantainknot/core/replica/Replica.java
@@ -182,8 +182,8 @@
     return outbox.drain();
   }
 
-  /** Returns the number of entries after the snapshot. */
-  public int logSize() {
+  /** Returns the size of the log and of the snapshot that precedes it. */
+  public LogSize logSize() {
     return log.size();
   }
 
--- a/core/src/main/java/org/plantainknot/core/replica/ReplicaLog.java
+++ b/core/src/main/java/org/plantainknot/core/replica/ReplicaLog.java
@@ -13,12 +13,14 @@
   private final List<Entry> entries;
   private final Outbox outbox;
   private Membership membership;
+  private long sizeBytes;
 
   ReplicaLog(Snapshot snapshot, List<Entry> entries, Outbox outbox) {
     this.snapshot = snapshot;
     this.entries = new ArrayList<>(entries);
     this.outbox = outbox;
     this.membership = membershipAt(lastIndex());
+    this.sizeBytes = sizeBytes(this.entries);
   }
 
   /** Returns the latest membership in the log, committed or not, or null if there is none. */
@@ -38,8 +40,12 @@
     return termAt(lastIndex());
   }
 
-  int size() {
-    return entries.size();
+  LogSize size() {
+    return new LogSize(entries.size(), sizeBytes, snapshot.data().length);
+  }
+
+  private static long sizeBytes(List<Entry> entries) {
+    return entries.stream().mapToLong(Entry::sizeBytes).sum();
   }
 
   /** Returns the term at the index, or -1 if it is past the end or compacted. */
@@ -88,6 +94,7 @@
       throw new IllegalStateException("entry " + entry.index() + " does not follow " + lastIndex());
     }
     entries.add(entry);
+    sizeBytes += entry.sizeBytes();
     outbox.record(new Appended(entry));
     if (entry.membership() != null) {
       membership = entry.membership();
@@ -95,20 +102,25 @@
   }
 
   void truncateFrom(long index) {
-    entries.subList(offset(index), entries.size()).clear();
+    remove(entries.subList(offset(index), entries.size()));
     outbox.record(new Truncated(index));
     membership = membershipAt(lastIndex());
   }
 
   Snapshot compact(long index, byte[] data) {
     Snapshot compacted = new Snapshot(index, termAt(index), membershipAt(index), data);
-    entries.subList(0, offset(index) + 1).clear();
+    remove(entries.subList(0, offset(index) + 1));
     snapshot = compacted;
     return compacted;
   }
 
+  private void remove(List<Entry> removed) {
+    sizeBytes -= sizeBytes(removed);
+    removed.clear();
+  }
+
   void install(Snapshot installed) {
-    entries.clear();
+    remove(entries);
     snapshot = installed;
     membership = installed.membership();
     outbox.record(new Installed(installed));
--- a/core/src/test/java/org/plantainknot/core/replica/FakeNode.java
+++ b/core/src/test/java/org/plantainknot/core/replica/FakeNode.java
@@ -1,5 +1,7 @@
 package org.plantainknot.core.replica;
 
+import static org.testng.Assert.assertEquals;
+
 import java.util.List;
 import java.util.Optional;
 import java.util.Set;
@@ -127,6 +129,10 @@
     }
     lease.applied(appliedIndex);
     updateLeaseTable();
+    assertEquals(
+        replica.logSize().bytes(),
+        replica.entries().stream().mapToLong(Entry::sizeBytes).sum(),
+        "size of the log in bytes");
   }
 
   void receiveLeaseRequest(LeaseRequest request, long nowMillis) {
--- a/daemon/src/main/java/org/plantainknot/daemon/control/ControlNode.java
+++ b/daemon/src/main/java/org/plantainknot/daemon/control/ControlNode.java
@@ -12,6 +12,7 @@
 import org.plantainknot.core.control.Result;
 import org.plantainknot.core.lease.GatewayLease;
 import org.plantainknot.core.replica.Envelope;
+import org.plantainknot.core.replica.LogSize;
 import org.plantainknot.core.replica.MemberId;
 import org.plantainknot.core.replica.Membership;
 import org.plantainknot.core.replica.Message;
@@ -39,6 +40,10 @@
 public final class ControlNode implements FrameListener, AutoCloseable {
 
   private static final FluentLogger logger = FluentLogger.forEnclosingClass();
+
+  /** Size of the log from which on a snapshot replaces it, unless the snapshot is larger. */
+  private static final long MAX_LOG_BYTES = 16 << 20;
+
   private static final long TICK_MILLIS = 10;
   private static final long LEAVE_POLL_MILLIS = 50;
 
@@ -154,7 +159,7 @@
                 process,
                 replica.status(),
                 state.appliedIndex(),
-                replica.logSize(),
+                replica.logSize().entries(),
                 leader.isServing(),
                 lease().untilMillis() - Clock.nowMillis(),
                 links.linkStates(),
@@ -339,7 +344,10 @@
   }
 
   private void compactIfLarge() {
-    boolean large = replica.logSize() > settings.number(SettingKey.LOG_SNAPSHOT_ENTRIES);
+    LogSize log = replica.logSize();
+    boolean large =
+        log.entries() > settings.number(SettingKey.LOG_SNAPSHOT_ENTRIES)
+            || log.bytes() > Math.max(MAX_LOG_BYTES, log.snapshotBytes());
     if (!large || replica.status().commitIndex() != state.appliedIndex()) {
       return;
     }
--- a/daemon/src/main/java/org/plantainknot/daemon/controller/Compactor.java
+++ b/daemon/src/main/java/org/plantainknot/daemon/controller/Compactor.java
@@ -40,8 +40,8 @@
 
   /** Starts a snapshot if the log is long enough and all committed entries are applied. */
   void compactIfLarge(long appliedIndex) {
-    boolean due = !encoding && replica.logSize() > threshold.entries();
-    if (due && replica.status().commitIndex() == appliedIndex) {
+    boolean due = threshold.isExceededBy(replica.logSize());
+    if (due && !encoding && replica.status().commitIndex() == appliedIndex) {
       encoding = true;
       threshold.redraw();
       JobLedger.Image image = ledger.image();
@@ -65,7 +65,7 @@
   /** Skips the snapshot if one received from the leader already covers its entries. */
   private void compact(long index, byte[] data) {
     encoding = false;
-    long coveredIndex = replica.status().lastIndex() - replica.logSize();
+    long coveredIndex = replica.status().lastIndex() - replica.logSize().entries();
     if (coveredIndex < index) {
       Snapshot snapshot = driver.compact(index, data);
       logger.atInfo().log("snapshot index=%d bytes=%d", snapshot.lastIndex(), data.length);
--- a/daemon/src/main/java/org/plantainknot/daemon/storage/DiskStorage.java
+++ b/daemon/src/main/java/org/plantainknot/daemon/storage/DiskStorage.java
@@ -59,10 +59,9 @@
     this.generation = latestGeneration().orElse(0L);
     Snapshot snapshot = readSnapshot();
     LogReplay replay = new LogReplay(snapshot.lastIndex());
-    List<byte[]> records = new ArrayList<>();
-    this.log = RecordFile.open(logPath(generation), records);
+    this.log = RecordFile.open(logPath(generation), payload -> replay.add(parseRecord(payload)));
+    deleteOtherGenerations();
     RecordFile.syncFolder(folder);
-    records.forEach(bytes -> replay.add(parseRecord(bytes)));
     this.hardState = replay.hardState();
     this.stored = new StoredState(hardState, snapshot, replay.entries());
   }
@@ -117,7 +116,7 @@
       RecordFile.writeAtomically(snapshotPath(nextGeneration), List.of(image));
       RecordFile.writeAtomically(logPath(nextGeneration), records);
       log.close();
-      log = RecordFile.open(logPath(nextGeneration), new ArrayList<>());
+      log = RecordFile.open(logPath(nextGeneration), payload -> {});
       Files.deleteIfExists(logPath(generation));
       Files.deleteIfExists(snapshotPath(generation));
       generation = nextGeneration;
@@ -206,6 +205,25 @@
     }
   }
 
+  /** Deletes what a crash has left of earlier generations, or of one that was not completed. */
+  private void deleteOtherGenerations() throws IOException {
+    List<Path> others;
+    try (Stream<Path> files = Files.list(folder)) {
+      others = files.filter(this::isOfOtherGeneration).toList();
+    }
+    for (Path file : others) {
+      Files.deleteIfExists(file);
+    }
+  }
+
+  private boolean isOfOtherGeneration(Path file) {
+    String name = file.getFileName().toString();
+    boolean ofAnyGeneration = name.startsWith(LOG_PREFIX) || name.startsWith(SNAPSHOT_PREFIX);
+    return ofAnyGeneration
+        && !file.equals(logPath(generation))
+        && !file.equals(snapshotPath(generation));
+  }
+
   private Snapshot readSnapshot() throws IOException {
     if (generation == 0) {
       return Snapshot.EMPTY;
@@ -216,7 +234,7 @@
 
   private static byte[] readSingleRecord(Path path) throws IOException {
     List<byte[]> records = new ArrayList<>();
-    RecordFile.open(path, records).close();
+    RecordFile.open(path, records::add).close();
     if (records.size() != 1) {
       throw new StorageException(path + " is damaged: it must hold exactly one record", null);
     }
--- a/daemon/src/main/java/org/plantainknot/daemon/storage/RecordFile.java
+++ b/daemon/src/main/java/org/plantainknot/daemon/storage/RecordFile.java
@@ -1,16 +1,18 @@
 package org.plantainknot.daemon.storage;
 
-import java.io.ByteArrayOutputStream;
+import java.io.BufferedInputStream;
+import java.io.DataInputStream;
 import java.io.IOException;
+import java.io.InputStream;
 import java.nio.ByteBuffer;
+import java.nio.channels.Channels;
 import java.nio.channels.FileChannel;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.nio.file.StandardCopyOption;
 import java.nio.file.StandardOpenOption;
-import java.util.ArrayList;
-import java.util.Arrays;
 import java.util.List;
+import java.util.function.Consumer;
 import java.util.zip.CRC32C;
 
 /**
@@ -18,11 +20,15 @@
  *
  * <p>An incomplete record at the end, as a crash leaves it, is truncated when the file is opened.
  * Damage that is followed by complete records can't come from a crash and is rejected.
+ *
+ * <p>Reading takes the memory of one record beside what the reader keeps, and writing that of one
+ * buffer, whatever the size of the file.
  */
 final class RecordFile implements AutoCloseable {
 
   private static final int HEADER_BYTES = 8;
   private static final int MAX_RECORD_BYTES = 1 << 30;
+  private static final int MAX_BUFFER_BYTES = 256 << 10;
 
   private final Path path;
   private final FileChannel channel;
@@ -32,12 +38,12 @@
     this.channel = channel;
   }
 
-  /** Opens a file for appending and adds its existing records to {@code records}. */
-  static RecordFile open(Path path, List<byte[]> records) throws IOException {
+  /** Opens a file for appending and passes its existing records to the reader, in order. */
+  static RecordFile open(Path path, Consumer<byte[]> reader) throws IOException {
     FileChannel channel =
         FileChannel.open(
             path, StandardOpenOption.CREATE, StandardOpenOption.READ, StandardOpenOption.WRITE);
-    long validBytes = parse(path, Files.readAllBytes(path), records);
+    long validBytes = read(path, channel, reader);
     if (validBytes < channel.size()) {
       channel.truncate(validBytes);
       channel.force(true);
@@ -50,7 +56,7 @@
   static void writeAtomically(Path path, List<byte[]> records) throws IOException {
     Path temporary = path.resolveSibling(path.getFileName() + ".tmp");
     Files.deleteIfExists(temporary);
-    try (RecordFile file = open(temporary, new ArrayList<>())) {
+    try (RecordFile file = open(temporary, payload -> {})) {
       file.append(records);
     }
     Files.move(temporary, path, StandardCopyOption.ATOMIC_MOVE);
@@ -65,18 +71,36 @@
 
   /** Appends records and syncs them. */
   void append(List<byte[]> records) throws IOException {
-    ByteArrayOutputStream bytes = new ByteArrayOutputStream();
+    long totalBytes = records.stream().mapToLong(payload -> HEADER_BYTES + payload.length).sum();
+    ByteBuffer buffer = ByteBuffer.allocate((int) Math.min(totalBytes, MAX_BUFFER_BYTES));
     for (byte[] payload : records) {
       ByteBuffer header = ByteBuffer.allocate(HEADER_BYTES);
-      header.putInt(payload.length).putInt(invertedCrc(payload, 0, payload.length));
-      bytes.write(header.array());
-      bytes.write(payload);
+      header.putInt(payload.length).putInt(invertedCrc(payload, 0, payload.length)).flip();
+      write(header, buffer);
+      write(ByteBuffer.wrap(payload), buffer);
     }
-    ByteBuffer buffer = ByteBuffer.wrap(bytes.toByteArray());
+    flush(buffer);
+    channel.force(false);
+  }
+
+  /** Writes bytes by way of a buffer, which keeps those that do not fill it. */
+  private void write(ByteBuffer bytes, ByteBuffer buffer) throws IOException {
+    while (bytes.hasRemaining()) {
+      if (!buffer.hasRemaining()) {
+        flush(buffer);
+      }
+      int count = Math.min(bytes.remaining(), buffer.remaining());
+      buffer.put(bytes.slice(bytes.position(), count));
+      bytes.position(bytes.position() + count);
+    }
+  }
+
+  private void flush(ByteBuffer buffer) throws IOException {
+    buffer.flip();
     while (buffer.hasRemaining()) {
       channel.write(buffer);
     }
-    channel.force(false);
+    buffer.clear();
   }
 
   @Override
@@ -89,23 +113,48 @@
     return path.toString();
   }
 
-  private static long parse(Path path, byte[] bytes, List<byte[]> records) {
-    int offset = 0;
-    while (offset < bytes.length) {
-      int length = lengthOfRecordAt(bytes, offset);
-      if (length < 0) {
-        rejectDamageBeforeRecords(path, bytes, offset);
+  /** Reads all complete records and returns the offset at which they end. */
+  private static long read(Path path, FileChannel channel, Consumer<byte[]> reader)
+      throws IOException {
+    long fileBytes = channel.size();
+    InputStream input = Channels.newInputStream(channel.position(0));
+    DataInputStream data = new DataInputStream(new BufferedInputStream(input, MAX_BUFFER_BYTES));
+    long offset = 0;
+    while (offset < fileBytes) {
+      byte[] payload = readRecord(data, fileBytes - offset);
+      if (payload == null) {
+        byte[] rest = Channels.newInputStream(channel.position(offset)).readAllBytes();
+        rejectDamageBeforeRecords(path, offset, rest);
         return offset;
       }
-      records.add(Arrays.copyOfRange(bytes, offset + HEADER_BYTES, endOfRecord(offset, length)));
-      offset = endOfRecord(offset, length);
+      reader.accept(payload);
+      offset += HEADER_BYTES + payload.length;
     }
     return offset;
   }
 
-  private static void rejectDamageBeforeRecords(Path path, byte[] bytes, int damagedOffset) {
-    for (int offset = damagedOffset + 1; offset < bytes.length - HEADER_BYTES; offset++) {
-      if (lengthOfRecordAt(bytes, offset) > 0) {
+  /** Returns the next record, or null if it is incomplete or damaged. */
+  private static byte[] readRecord(DataInputStream data, long availableBytes) throws IOException {
+    if (availableBytes < HEADER_BYTES) {
+      return null;
+    }
+    int length = data.readInt();
+    int crc = data.readInt();
+    if (!isPossibleLength(length, availableBytes - HEADER_BYTES)) {
+      return null;
+    }
+    byte[] payload = data.readNBytes(length);
+    return crc == invertedCrc(payload, 0, payload.length) ? payload : null;
+  }
+
+  private static boolean isPossibleLength(int length, long availableBytes) {
+    return length >= 0 && length <= MAX_RECORD_BYTES && length <= availableBytes;
+  }
+
+  /** Rejects a file if the bytes from the damage on hold a complete record. */
+  private static void rejectDamageBeforeRecords(Path path, long damagedOffset, byte[] rest) {
+    for (int offset = 1; offset < rest.length - HEADER_BYTES; offset++) {
+      if (isRecordAt(rest, offset)) {
         throw new StorageException(
             path
                 + " is damaged at byte "
@@ -117,21 +166,15 @@
     }
   }
 
-  /** Returns the length of the record at the offset, or -1 if it is incomplete or damaged. */
-  private static int lengthOfRecordAt(byte[] bytes, int offset) {
-    if (bytes.length - offset < HEADER_BYTES) {
-      return -1;
-    }
+  /** Returns whether a complete record that isn't empty begins at the offset. */
+  private static boolean isRecordAt(byte[] bytes, int offset) {
     ByteBuffer header = ByteBuffer.wrap(bytes, offset, HEADER_BYTES);
     int length = header.getInt();
     int crc = header.getInt();
-    boolean fits =
-        length >= 0 && length <= MAX_RECORD_BYTES && bytes.length - offset - HEADER_BYTES >= length;
-    return fits && crc == invertedCrc(bytes, offset + HEADER_BYTES, length) ? length : -1;
-  }
-
-  private static int endOfRecord(int offset, int length) {
-    return offset + HEADER_BYTES + length;
+    int payloadOffset = offset + HEADER_BYTES;
+    return length > 0
+        && isPossibleLength(length, bytes.length - payloadOffset)
+        && crc == invertedCrc(bytes, payloadOffset, length);
   }
 
   /** Returns the complement of the CRC, so that a run of zeros is not a valid empty record. */
--- a/daemon/src/test/java/org/plantainknot/daemon/storage/DiskStorageTest.java
+++ b/daemon/src/test/java/org/plantainknot/daemon/storage/DiskStorageTest.java
@@ -12,6 +12,9 @@
 import java.nio.file.Path;
 import java.util.Arrays;
 import java.util.List;
+import java.util.Set;
+import java.util.stream.Collectors;
+import java.util.stream.Stream;
 import org.plantainknot.core.replica.Entry;
 import org.plantainknot.core.replica.LogRecord.Appended;
 import org.plantainknot.core.replica.LogRecord.HardState;
@@ -139,6 +142,40 @@
     assertEquals(texts(read()), List.of("ten"));
   }
 
+  /** Guards against disks that fill with the files of snapshots that a crash interrupted. */
+  @Test
+  void filesOfOtherGenerationsAreDeletedWhenTheFolderIsOpened() throws IOException {
+    write();
+    try (DiskStorage storage = DiskStorage.open(folder, "n1")) {
+      storage.compact(new Snapshot(2, 2, null, bytes("state")), List.of(entry(3, 3, "three")));
+    }
+    for (String left :
+        List.of("log-0", "snapshot-0", "snapshot-2", "snapshot-2.tmp", "log-2.tmp")) {
+      Files.write(folder.resolve(left), bytes("left by a crash"));
+    }
+    assertEquals(texts(read()), List.of("three"));
+    assertEquals(fileNames(), Set.of("identity", "lock", "log-1", "snapshot-1"));
+  }
+
+  @Test
+  void recordsLargerThanTheWriteBufferSurviveARestart() {
+    String large = "0123456789abcdef".repeat(100_000);
+    try (DiskStorage storage = DiskStorage.open(folder, "n1")) {
+      storage.append(
+          List.of(
+              new Appended(entry(1, 1, "small")),
+              new Appended(entry(2, 1, large)),
+              new Appended(entry(3, 1, "small again"))));
+    }
+    assertEquals(texts(read()), List.of("small", large, "small again"));
+  }
+
+  private Set<String> fileNames() throws IOException {
+    try (Stream<Path> files = Files.list(folder)) {
+      return files.map(file -> file.getFileName().toString()).collect(Collectors.toSet());
+    }
+  }
+
   private void write() {
     try (DiskStorage storage = DiskStorage.open(folder, "n1")) {
       storage.append(List.of(new Appended(entry(1, 1, "one")), new Appended(entry(2, 1, "two"))));
