Trust a worker again once a run is at work on it, and don't blame it for work that fails after that

Cause: only a run that ended as done reset a worker's failures in a row. Persistent runs never do, so that from the third failure on the worker was on probation, with one run at a time, and it already had a hundred. Change: FailureRecord. A persistent run that was at work for 2 s and fails doesn't count. Only runs that aren't known to be at work count on probation. Ruled out: room and labels (both runners had room for many more such units).

--- a/core/src/main/java/org/plantainknot/core/schedule/Dispatcher.java
+++ b/core/src/main/java/org/plantainknot/core/schedule/Dispatcher.java
@@ -29,8 +29,6 @@
  */
 public final class Dispatcher {
 
-  private static final double FULL_PERCENT = 100;
-
   private static final long SUSPECT_BLOCK_MILLIS = 2_000;
   private static final long NO_ROOM_BLOCK_MILLIS = 300;
   private static final long RENEW_RETRY_MILLIS = 200;
@@ -238,7 +236,7 @@
     TrackedRun run = runs.find(task.runId());
     return run != null
         && run.phase() == Phase.RUNNING
-        && run.percent() >= FULL_PERCENT
+        && run.isAtFullPercent()
         && sessions.isAnswering(session(run.incarnation()), nowMillis);
   }
 
@@ -274,9 +272,9 @@
     boolean draining = isIn(WorkerPhase.DRAINING, incarnation);
     for (TrackedRun run : runs.on(incarnation)) {
       boolean running = run.phase() == Phase.RUNNING;
-      boolean stalled = running && answering && isStalled(run, nowMillis);
+      boolean stalled = running && answering && StallTimeout.hasStalled(run, nowMillis);
       if (stalled) {
-        session.runFailed(nowMillis);
+        session.failures().runFailed(nowMillis);
       }
       if (stalled || (running && draining && run.task().step().persistent())) {
         run.enter(Phase.STOPPING, nowMillis);
@@ -298,11 +296,6 @@
         .isPresent();
   }
 
-  private static boolean isStalled(TrackedRun run, long nowMillis) {
-    return run.percent() < FULL_PERCENT
-        && nowMillis - run.progressAtMillis() > StallTimeout.millis(run);
-  }
-
   /** Stops a run that can't be of use any more, and sends or retries its pending order when due. */
   private void advanceRun(TrackedRun run, long nowMillis) {
     if (!run.isEnding() && isObsolete(run)) {
@@ -358,14 +351,19 @@
         durationRecorder.record(run, end);
       }
       if (end.kind() == EndKind.DONE) {
-        session.runDone();
-      } else if (end.kind() == EndKind.FAILED) {
-        session.runFailed(nowMillis);
+        session.failures().runDone();
+      } else if (end.kind() == EndKind.FAILED && !isOwnFault(run, nowMillis)) {
+        session.failures().runFailed(nowMillis);
       }
     }
     session.renewSoon();
   }
 
+  /** Returns whether a run that failed had been at work, so that its worker is not to blame. */
+  private static boolean isOwnFault(TrackedRun run, long nowMillis) {
+    return run != null && run.task().step().persistent() && run.isProven(nowMillis);
+  }
+
   private void onListedRunning(WorkerTarget target, ListedRun listed, long nowMillis) {
     TrackedRun run = runs.find(listed.run());
     if (run == null || run.isBeingGivenUp()) {
@@ -383,6 +381,9 @@
     if (run.phase() == Phase.ADOPTED || run.phase() == Phase.STARTING) {
       run.enter(Phase.RUNNING, nowMillis);
     }
+    if (run.isProven(nowMillis)) {
+      session(target.life()).failures().runProven(run.phaseAtMillis());
+    }
   }
 
   private void onListedEnd(ListedEnd listed, long nowMillis) {
--- a/core/src/main/java/org/plantainknot/core/schedule/Planner.java
+++ b/core/src/main/java/org/plantainknot/core/schedule/Planner.java
@@ -236,10 +236,7 @@
               && dispatcher.isUsable(worker, nowMillis)
               && !reservedWorkers.contains(worker.life().worker());
       if (usable) {
-        WorkerSession session = dispatcher.session(worker.life());
-        Slot slot = new Slot(worker, session.isOnProbation());
-        dispatcher.forEachRunOn(
-            worker.life(), run -> slot.allocate(run.task().id(), run.task().step()));
+        Slot slot = slotOf(worker, nowMillis);
         slotByWorker.put(worker.life().worker(), slot);
         slotsByService.computeIfAbsent(worker.service(), s -> new ArrayList<>()).add(slot);
       }
@@ -253,6 +250,21 @@
     return slotsByService;
   }
 
+  private Slot slotOf(WorkerHeartbeat worker, long nowMillis) {
+    FailureRecord failures = dispatcher.session(worker.life()).failures();
+    Slot slot = new Slot(worker, failures.isOnProbation(nowMillis));
+    dispatcher.forEachRunOn(
+        worker.life(),
+        run -> {
+          if (run.isProven(nowMillis)) {
+            slot.allocateProven(run.task().id(), run.task().step());
+          } else {
+            slot.allocate(run.task().id(), run.task().step());
+          }
+        });
+    return slot;
+  }
+
   /**
    * Assigns tasks of a group to workers that have room for them.
    *
--- a/core/src/main/java/org/plantainknot/core/schedule/Slot.java
+++ b/core/src/main/java/org/plantainknot/core/schedule/Slot.java
@@ -24,7 +24,7 @@
   private final boolean onProbation;
   private final Map<StepId, Integer> tasksByStep = new HashMap<>();
   private Resources free;
-  private int tasks;
+  private int unprovenTasks;
   private int latencyBoundTasks;
   private int fillerTasks;
   private int persistentTasks;
@@ -40,7 +40,14 @@
     return worker;
   }
 
+  /** Allocates a task that is not known to be at work on the worker. */
   void allocate(TaskId task, StepSpec step) {
+    allocateProven(task, step);
+    unprovenTasks++;
+  }
+
+  /** Allocates a task that is at work, so that it doesn't count on probation. */
+  void allocateProven(TaskId task, StepSpec step) {
     free = free.minus(step.reserved());
     count(task.stepId(), step, 1);
   }
@@ -49,11 +56,11 @@
   void release(TaskId task, StepSpec step) {
     free = free.plus(step.reserved());
     count(task.stepId(), step, -1);
+    unprovenTasks--;
   }
 
   private void count(StepId id, StepSpec step, int change) {
     tasksByStep.merge(id, change, Integer::sum);
-    tasks += change;
     if (step.persistent()) {
       persistentTasks += change;
       persistentMilliCores += change * step.reserved().milliCores();
@@ -67,7 +74,7 @@
 
   boolean fits(StepId id, StepSpec step) {
     boolean full = !step.reserved().fitsInto(free);
-    if (full || (onProbation && tasks > 0)) {
+    if (full || (onProbation && unprovenTasks > 0)) {
       return false;
     }
     boolean hasRequiredLabel = step.requiredLabel().isEmpty() || hasLabel(step.requiredLabel());
--- a/core/src/main/java/org/plantainknot/core/schedule/StallTimeout.java
+++ b/core/src/main/java/org/plantainknot/core/schedule/StallTimeout.java
@@ -24,8 +24,12 @@
 
   private StallTimeout() {}
 
-  /** Returns the time without progress after which a run counts as stalled. */
-  static long millis(TrackedRun run) {
+  /** Returns whether a run that its worker lists has made no progress for too long. */
+  static boolean hasStalled(TrackedRun run, long nowMillis) {
+    return !run.isAtFullPercent() && nowMillis - run.progressAtMillis() > millis(run);
+  }
+
+  private static long millis(TrackedRun run) {
     StepSpec step = run.task().step();
     if (step.persistent()) {
       return MIN_MILLIS;
--- a/core/src/main/java/org/plantainknot/core/schedule/TrackedRun.java
+++ b/core/src/main/java/org/plantainknot/core/schedule/TrackedRun.java
@@ -25,6 +25,14 @@
 
   private static final int MAX_ATTEMPTS = 2;
 
+  /** Time at full percent after which a persistent run counts as at work. */
+  private static final long PERSISTENT_PROOF_MILLIS = 2_000;
+
+  /** Time after which any other run that makes progress counts as at work. */
+  private static final long PROOF_MILLIS = 4_000;
+
+  private static final double FULL_PERCENT = 100;
+
   private final Task task;
   private final RunId id;
   private WorkerIncarnation incarnation;
@@ -178,13 +186,25 @@
     }
   }
 
+  /** Returns whether the run has been at work for so long that its worker is able to run it. */
+  boolean isProven(long nowMillis) {
+    if (phase != Phase.RUNNING) {
+      return false;
+    }
+    if (task.step().persistent()) {
+      return isAtFullPercent() && nowMillis - progressAtMillis >= PERSISTENT_PROOF_MILLIS;
+    }
+    return progressAtMillis > phaseAtMillis && nowMillis - phaseAtMillis >= PROOF_MILLIS;
+  }
+
   /** Returns how long the latest progress took for each percent, or 0 if there was none. */
   long millisPerPercent() {
     return millisPerPercent;
   }
 
-  double percent() {
-    return percent;
+  /** Returns whether the worker reports the run at 100%, as of persistent runs at work. */
+  boolean isAtFullPercent() {
+    return percent >= FULL_PERCENT;
   }
 
   long progressAtMillis() {
--- a/core/src/main/java/org/plantainknot/core/schedule/WorkerSession.java
+++ b/core/src/main/java/org/plantainknot/core/schedule/WorkerSession.java
@@ -18,12 +18,10 @@
   /** Maximum time by which answers on different connections may arrive out of order. */
   private static final long MAX_REORDERING_MILLIS = 1_000;
 
-  private static final int FAILURES_TO_QUARANTINE = 3;
-  private static final long QUARANTINE_MILLIS = 4_000;
-
   private final WorkerIncarnation incarnation;
   private final long leaseMillis;
   private final long earlierLeasesExpireAtMillis;
+  private final FailureRecord failures = new FailureRecord();
   private boolean reported;
   private long reportRequestedAtMillis;
   private long clockMillis;
@@ -40,7 +38,6 @@
   private boolean listenerGone;
   private long restartedAtMillis;
   private long blockedUntilMillis;
-  private int failuresInRow;
   private Map<RunId, ListedRun> running = Map.of();
   private Set<RunId> ended = Set.of();
   private boolean mayOmitEnds;
@@ -241,23 +238,11 @@
   }
 
   boolean isBlocked(long nowMillis) {
-    return nowMillis < blockedUntilMillis;
-  }
-
-  /** Counts a failed run; several in a row block the worker from new work for a while. */
-  void runFailed(long nowMillis) {
-    failuresInRow++;
-    if (failuresInRow >= FAILURES_TO_QUARANTINE) {
-      blockUntil(nowMillis + QUARANTINE_MILLIS);
-    }
-  }
-
-  void runDone() {
-    failuresInRow = 0;
+    return nowMillis < blockedUntilMillis || failures.isQuarantined(nowMillis);
   }
 
-  /** Returns whether the worker is limited to one task at a time after repeated failures. */
-  boolean isOnProbation() {
-    return failuresInRow >= FAILURES_TO_QUARANTINE;
+  /** Returns the failures of the runs on this incarnation. */
+  FailureRecord failures() {
+    return failures;
   }
 }
