--- a/core/src/main/java/org/plantainknot/core/replica/Leadership.java
+++ b/core/src/main/java/org/plantainknot/core/replica/Leadership.java
@@ -99,11 +99,18 @@
     return suspectRound > 0 && confirmedRound(membership) <= suspectRound;
   }
 
-  /** Returns whether the voters added by a change have replicated the log up to the index. */
-  boolean newVotersCaughtUp(long index, Membership membership, Membership changed) {
-    return changed.members().stream()
-        .filter(member -> !membership.isVoter(member))
-        .allMatch(member -> matchIndexOf(member) >= index);
+  /**
+   * Returns whether the membership may be changed now: the one in force is committed in this term,
+   * and added voters have replicated the log up to the commit index.
+   */
+  boolean mayChangeMembership(ReplicaLog log, long commitIndex, long term, Membership changed) {
+    Membership current = log.membership();
+    return log.isMembershipCommitted(commitIndex, term)
+        && changed.members().stream()
+            .filter(member -> !current.isVoter(member))
+            .allMatch(member -> matchIndexOf(member) >= commitIndex)
+        && !changed.voters().isEmpty()
+        && changed.isOneStepFrom(current);
   }
 
   /** Returns when a member last replied, or when this leader was elected if that is later. */
--- a/core/src/main/java/org/plantainknot/core/replica/Replica.java
+++ b/core/src/main/java/org/plantainknot/core/replica/Replica.java
@@ -122,7 +122,8 @@
    * <p>A member is added only after it has caught up with the commit index (Ongaro, section 4.2.1).
    */
   public Optional<Long> changeMembership(Membership changed) {
-    if (role != Role.LEADER || !canChangeMembership(changed)) {
+    if (role != Role.LEADER
+        || !leadership.mayChangeMembership(log, commitIndex, election.term(), changed)) {
       return Optional.empty();
     }
     Entry entry = Entry.ofMembership(log.lastIndex() + 1, election.term(), changed);
@@ -321,12 +322,18 @@
     outbox.sendAfterSync(sender, new AppendReply(election.term(), append.round(), true, matched));
   }
 
+  /**
+   * Installs a snapshot unless the log holds its last entry. Entries after that one may have been
+   * acknowledged, so they must stay (Ongaro, section 5.3).
+   */
   private void onInstallSnapshot(MemberId sender, InstallSnapshot install, long nowMillis) {
     if (!acceptLeader(sender, install.term(), install.round(), nowMillis)) {
       return;
     }
     Snapshot snapshot = install.snapshot();
-    if (snapshot.lastIndex() > commitIndex) {
+    if (log.termAt(snapshot.lastIndex()) == snapshot.lastTerm()) {
+      commitUpTo(snapshot.lastIndex());
+    } else if (snapshot.lastIndex() > commitIndex) {
       log.install(snapshot);
       commitIndex = snapshot.lastIndex();
       outbox.restore(snapshot);
@@ -426,16 +433,6 @@
     }
   }
 
-  private boolean canChangeMembership(Membership changed) {
-    boolean noChangeInProgress =
-        log.termAt(commitIndex) == election.term()
-            && membership().equals(log.membershipAt(commitIndex));
-    return noChangeInProgress
-        && leadership.newVotersCaughtUp(commitIndex, membership(), changed)
-        && !changed.voters().isEmpty()
-        && changed.isOneStepFrom(membership());
-  }
-
   private boolean isVoter() {
     return membership() != null && membership().isVoter(self);
   }
--- a/core/src/main/java/org/plantainknot/core/replica/ReplicaLog.java
+++ b/core/src/main/java/org/plantainknot/core/replica/ReplicaLog.java
@@ -136,6 +136,11 @@
     return snapshot.membership();
   }
 
+  /** Returns whether the membership in force is committed, and the index is of the given term. */
+  boolean isMembershipCommitted(long commitIndex, long term) {
+    return termAt(commitIndex) == term && membership.equals(membershipAt(commitIndex));
+  }
+
   private int offset(long index) {
     return Math.toIntExact(index - snapshot.lastIndex() - 1);
   }
--- a/core/src/test/java/org/plantainknot/core/replica/ReplicaTest.java
+++ b/core/src/test/java/org/plantainknot/core/replica/ReplicaTest.java
@@ -9,6 +9,7 @@
 import java.util.TreeMap;
 import org.plantainknot.core.replica.Message.Append;
 import org.plantainknot.core.replica.Message.AppendReply;
+import org.plantainknot.core.replica.Message.InstallSnapshot;
 import org.plantainknot.core.replica.Message.VoteReply;
 import org.plantainknot.core.replica.Message.VoteRequest;
 import org.testng.annotations.BeforeMethod;
@@ -185,6 +186,21 @@
     }
   }
 
+  /**
+   * Guards against acknowledged entries that are lost, and a member that never catches up again.
+   */
+  @Test
+  void aSnapshotThatComesLateLeavesTheEntriesAfterIt() {
+    followLeader(PIPELINED);
+    Snapshot late = new Snapshot(5, 1, new Membership("test", new TreeMap<>()), new byte[0]);
+    replica.receive(PEER, new InstallSnapshot(1, 1, late), nowMillis);
+    assertEquals(replica.status().lastIndex(), 1 + PIPELINED);
+    assertEquals(replica.status().commitIndex(), 5);
+    Ready ready = replica.ready();
+    assertEquals(ready.restored(), null);
+    assertEquals(ready.committed().size(), 4);
+  }
+
   private void followLeader(int entries) {
     List<Entry> appended = new ArrayList<>();
     for (int i = 0; i < entries; i++) {
