Ask members for their votes when their links come up, and let the better candidate try at once

Cause: a candidate asks only the members that are linked when its timer runs out; a link that comes up later got no request, so that the next timeout (600 to 1,200 ms) had to pass. And a voter with a newer log refused a candidate but waited for its own timer. Change: a candidate asks a member as its link comes up; a voter that refuses a pre-vote and knows of no leader starts its own. A pre-vote disturbs no leader. Not shown: that this is what the users saw.

--- a/core/src/main/java/org/plantainknot/core/replica/Replica.java
+++ b/core/src/main/java/org/plantainknot/core/replica/Replica.java
@@ -58,14 +58,21 @@
     appendEntry(Entry.ofMembership(1, 0, initial));
   }
 
-  /** Adds a reachable member, which replaces an earlier incarnation of its node. */
+  /**
+   * Adds a member to which a link is up, which replaces an earlier incarnation of its node. A
+   * candidate asks it for its vote, since an earlier request may have been lost for want of a link.
+   */
   public void addPeer(MemberId peer) {
-    if (peer.node().equals(self.node()) || peer.equals(peers.put(peer.node(), peer))) {
+    if (peer.node().equals(self.node())) {
       return;
     }
-    if (leadership != null) {
+    boolean known = peer.equals(peers.put(peer.node(), peer));
+    if (leadership != null && !known) {
       leadership.retainMembers(peers.values());
     }
+    if (role.isCampaigning() && membership().isVoter(peer)) {
+      outbox.sendAfterSync(peer, election.request());
+    }
   }
 
   /** Runs the timers: sends heartbeats, steps down or starts an election if one is due. */
@@ -201,7 +208,7 @@
   public boolean hasConfirmedLeadership(long nowMillis) {
     return role == Role.LEADER
         && !leadership.isContactSuspect(membership())
-        && hasQuorumContact(nowMillis);
+        && leadership.hasQuorumContact(membership(), nowMillis, timing);
   }
 
   /**
@@ -228,12 +235,8 @@
         log.lastIndex());
   }
 
-  private boolean hasQuorumContact(long nowMillis) {
-    return leadership.hasQuorumContact(membership(), nowMillis, timing.maxElectionTimeoutMillis());
-  }
-
   private void tickLeader(long nowMillis) {
-    if (!hasQuorumContact(nowMillis)) {
+    if (!leadership.hasQuorumContact(membership(), nowMillis, timing)) {
       becomeFollower(election.term(), null, nowMillis);
     } else if (leadership.isHeartbeatDue(nowMillis, timing.heartbeatMillis())) {
       startRound(nowMillis);
@@ -243,13 +246,10 @@
   private void campaign(boolean preVote, boolean leadershipTransfer, long nowMillis) {
     leader = null;
     role = preVote ? Role.PRE_CANDIDATE : Role.CANDIDATE;
-    election.campaign(self, preVote, nowMillis);
-    long campaignTerm = preVote ? election.term() + 1 : election.term();
-    VoteRequest request =
-        new VoteRequest(campaignTerm, log.lastIndex(), log.lastTerm(), preVote, leadershipTransfer);
+    election.campaign(self, log, preVote, leadershipTransfer, nowMillis);
     peers.values().stream()
         .filter(membership()::isVoter)
-        .forEach(voter -> outbox.sendAfterSync(voter, request));
+        .forEach(voter -> outbox.sendAfterSync(voter, election.request()));
     countVote(self, nowMillis);
   }
 
@@ -266,7 +266,8 @@
 
   /**
    * Votes even if this member's own membership, which may be older than the candidate's, doesn't
-   * list it as a voter. The candidate counts only votes of incarnations in its membership.
+   * list it as a voter. The candidate counts only votes of incarnations in its membership. A voter
+   * that knows of no leader and can't vote for the candidate is the better one, and tries at once.
    */
   private void onVoteRequest(MemberId sender, VoteRequest request, long nowMillis) {
     if (ignoresVoteRequest(request, nowMillis)) {
@@ -283,6 +284,9 @@
     }
     long replyTerm = granted ? request.term() : election.term();
     outbox.sendAfterSync(sender, new VoteReply(replyTerm, request.preVote(), granted));
+    if (!granted && request.preVote() && role == Role.FOLLOWER && isVoter()) {
+      campaign(true, false, nowMillis);
+    }
   }
 
   /** Returns whether a recent leader contact rules out the vote (Ongaro, section 4.2.3). */
--- a/core/src/main/java/org/plantainknot/core/replica/Role.java
+++ b/core/src/main/java/org/plantainknot/core/replica/Role.java
@@ -9,5 +9,10 @@
   /** Runs for election. */
   CANDIDATE,
   /** Replicates and commits entries. */
-  LEADER
+  LEADER;
+
+  /** Returns whether the member is asking for votes. */
+  boolean isCampaigning() {
+    return this == PRE_CANDIDATE || this == CANDIDATE;
+  }
 }
