Sync each buffer of an append before the next one is written

After a loss of power a later write may be present without an earlier one: a gap with complete records behind it, which RecordFile.open rejects as damage, so that the controller would not start. Found by reading; no test can take such writes apart here, so none failed before. Change: each buffer is synced before the next is written, and the buffer has 1 MB, so that few batches need a second sync. DiskStorageTest passes, with records larger than the buffer.

--- a/daemon/src/main/java/org/plantainknot/daemon/storage/RecordFile.java
+++ b/daemon/src/main/java/org/plantainknot/daemon/storage/RecordFile.java
@@ -28,7 +28,7 @@
 
   private static final int HEADER_BYTES = 8;
   private static final int MAX_RECORD_BYTES = 1 << 30;
-  private static final int MAX_BUFFER_BYTES = 256 << 10;
+  private static final int MAX_BUFFER_BYTES = 1 << 20;
 
   private final Path path;
   private final FileChannel channel;
@@ -69,7 +69,10 @@
     }
   }
 
-  /** Appends records and syncs them. */
+  /**
+   * Appends records and syncs them. Each full buffer is synced before the next one is written,
+   * since a crash may leave a later write without an earlier one, and that would look like damage.
+   */
   void append(List<byte[]> records) throws IOException {
     long totalBytes = records.stream().mapToLong(payload -> HEADER_BYTES + payload.length).sum();
     ByteBuffer buffer = ByteBuffer.allocate((int) Math.min(totalBytes, MAX_BUFFER_BYTES));
@@ -80,7 +83,6 @@
       write(ByteBuffer.wrap(payload), buffer);
     }
     flush(buffer);
-    channel.force(false);
   }
 
   /** Writes bytes by way of a buffer, which keeps those that do not fill it. */
@@ -101,6 +103,7 @@
       channel.write(buffer);
     }
     buffer.clear();
+    channel.force(false);
   }
 
   @Override
