--- a/core/src/main/java/org/plantainknot/core/schedule/FailureRecord.java
+++ b/core/src/main/java/org/plantainknot/core/schedule/FailureRecord.java
@@ -16,10 +16,14 @@
 
   private int failuresInRow;
   private long lastFailureAtMillis;
+  private long quarantinedUntilMillis;
 
   void runFailed(long nowMillis) {
     failuresInRow++;
     lastFailureAtMillis = nowMillis;
+    if (isSuspect()) {
+      quarantinedUntilMillis = nowMillis + QUARANTINE_MILLIS;
+    }
   }
 
   void runDone() {
@@ -35,13 +39,12 @@
 
   /** Returns whether the worker gets no new work. */
   boolean isQuarantined(long nowMillis) {
-    return isSuspect() && nowMillis < lastFailureAtMillis + QUARANTINE_MILLIS;
+    return nowMillis < quarantinedUntilMillis;
   }
 
   /** Returns whether the worker gets one run at a time that isn't known to be at work. */
   boolean isOnProbation(long nowMillis) {
-    return isSuspect()
-        && nowMillis < lastFailureAtMillis + QUARANTINE_MILLIS + MAX_PROBATION_MILLIS;
+    return isSuspect() && nowMillis < quarantinedUntilMillis + MAX_PROBATION_MILLIS;
   }
 
   private boolean isSuspect() {
--- a/daemon/src/main/java/org/plantainknot/daemon/controller/Compactor.java
+++ b/daemon/src/main/java/org/plantainknot/daemon/controller/Compactor.java
@@ -38,10 +38,13 @@
     this.controlThread = controlThread;
   }
 
-  /** Starts a snapshot if the log is long enough and all committed entries are applied. */
+  /**
+   * Starts a snapshot if the log is large enough, all committed entries are applied, and there are
+   * any that the latest snapshot doesn't cover.
+   */
   void compactIfLarge(long appliedIndex) {
-    boolean due = threshold.isExceededBy(replica.logSize());
-    if (due && !encoding && replica.status().commitIndex() == appliedIndex) {
+    boolean due = !encoding && threshold.isExceededBy(replica.logSize());
+    if (due && replica.status().commitIndex() == appliedIndex && appliedIndex > coveredIndex()) {
       encoding = true;
       threshold.redraw();
       JobLedger.Image image = ledger.image();
@@ -65,13 +68,17 @@
   /** Skips the snapshot if one received from the leader already covers its entries. */
   private void compact(long index, byte[] data) {
     encoding = false;
-    long coveredIndex = replica.status().lastIndex() - replica.logSize().entries();
-    if (coveredIndex < index) {
+    if (coveredIndex() < index) {
       Snapshot snapshot = driver.compact(index, data);
       logger.atInfo().log("snapshot index=%d bytes=%d", snapshot.lastIndex(), data.length);
     }
   }
 
+  /** Returns the index of the last entry that the latest snapshot covers. */
+  private long coveredIndex() {
+    return replica.status().lastIndex() - replica.logSize().entries();
+  }
+
   @Override
   public void close() {
     encoder.shutdown();
