Read the configuration at each controller in the soak, in the calm after the faults and after a final one

The soak reads the configuration at each controller 3 s after the faults (contact_ms), for 3 s at the most, and within 12 s (recover_s) after a final fault right after an acknowledged change: all controllers killed, all processes killed, or as many disks as may be lost wiped while all others are killed. Disks are wiped among the other faults too; a controller counts as lost for 4 s after its start then (catch_up_s). Sites have three and five controllers by turns.

--- a/bench/src/test/java/org/plantainknot/bench/soak/FaultSoakTest.java
+++ b/bench/src/test/java/org/plantainknot/bench/soak/FaultSoakTest.java
@@ -4,6 +4,7 @@
 
 import java.util.ArrayList;
 import java.util.List;
+import java.util.SplittableRandom;
 import java.util.stream.IntStream;
 import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
@@ -22,6 +23,15 @@
   private static final int CALLERS = 6;
   private static final long START_TIMEOUT_MILLIS = 20_000;
 
+  /** Time after the last fault from which on each controller has to answer reads. */
+  private static final long CALM_MILLIS = 3_000;
+
+  /** Time for which reads are repeated until they have to be answered. */
+  private static final long READ_MILLIS = 3_000;
+
+  /** Time after the final fault within which the configuration has to be read back. */
+  private static final long CLOSING_RECOVERY_MILLIS = 12_000;
+
   /** Covers lease expiry, run retries and leader elections after the last fault. */
   private static final long RECOVERY_MILLIS = 40_000;
 
@@ -57,6 +67,9 @@
       SoakFaults faults = new SoakFaults(site, seed);
       runWorkload(site, callers, operator, faults, faultPeriodMillis);
       faults.close();
+      SoakCaller.pause(CALM_MILLIS);
+      operator.readConfigAtEachController("after the faults", READ_MILLIS);
+      SoakClosing closing = strikeAtTheEnd(site, operator, seed);
       long recoveryDeadlineMillis = site.nowMillis() + RECOVERY_MILLIS;
       List<String> incomplete =
           callers.stream()
@@ -66,12 +79,13 @@
       int accepted = callers.stream().mapToInt(SoakCaller::accepted).sum();
       String report =
           String.format(
-              "seed %d, logs in %s, accepted %d, refused %d, faults %s",
+              "seed %d, logs in %s, accepted %d, refused %d, faults %s, closing %s",
               seed,
               site.folder(),
               accepted,
               callers.stream().mapToInt(SoakCaller::refused).sum(),
-              faults.log());
+              faults.log(),
+              closing);
       System.out.println(report);
       assertTrue(site.violations().isEmpty(), report + ", violations " + site.violations());
       assertTrue(incomplete.isEmpty(), report + ", not completed " + incomplete);
@@ -79,6 +93,17 @@
     }
   }
 
+  /** Strikes with the final fault and checks that the configuration is read back everywhere. */
+  private static SoakClosing strikeAtTheEnd(SoakSite site, SoakOperator operator, int seed) {
+    SoakClosing closing = SoakClosing.values()[seed % SoakClosing.values().length];
+    assertTrue(
+        operator.updateConfig(site.nowMillis() + START_TIMEOUT_MILLIS),
+        "the last configuration is acknowledged");
+    closing.strike(site.cluster(), operator.acknowledgedBy(), new SplittableRandom(seed));
+    operator.readConfigAtEachController("after " + closing, CLOSING_RECOVERY_MILLIS);
+    return closing;
+  }
+
   private static void runWorkload(
       SoakSite site,
       List<SoakCaller> callers,
--- a/bench/src/test/java/org/plantainknot/bench/soak/SoakCluster.java
+++ b/bench/src/test/java/org/plantainknot/bench/soak/SoakCluster.java
@@ -9,6 +9,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.stream.IntStream;
+import java.util.stream.Stream;
 import org.plantainknot.bench.cluster.DaemonProcess;
 import org.plantainknot.bench.cluster.OperatorClient;
 import org.plantainknot.daemon.settings.HostPort;
@@ -72,9 +73,30 @@
     gateways.forEach(node -> start(node, true));
   }
 
+  /** Returns how many controllers may be lost at once. */
+  int tolerableLosses() {
+    return (controllers.size() - 1) / 2;
+  }
+
+  /** Deletes the disk of a node whose process has ended. */
+  void wipe(String node) {
+    try (Stream<Path> files = Files.list(folder.resolve(node))) {
+      for (Path file : files.toList()) {
+        Files.delete(file);
+      }
+    } catch (IOException e) {
+      throw new UncheckedIOException(e);
+    }
+  }
+
+  /** Starts a node whose process has ended again, on what its disk holds. */
+  void startAgain(String node) {
+    start(node, false);
+  }
+
   /** Restarts a node on its existing data and waits until it listens. */
   void restart(String node) {
-    start(node, false);
+    startAgain(node);
     HostPort listener = controllers.contains(node) ? controlAddress(node) : callerAddress(node);
     OperatorClient.await(START_TIMEOUT_MILLIS, () -> isListening(listener));
   }
@@ -127,7 +149,7 @@
                 + READY_PORT
                 + "\n";
     return ("[process]\nnode = " + node + "\n" + role)
-        + ("bootstrap = " + bootstrap + "\nlossesToBear = " + (controllers.size() - 1) / 2)
+        + ("bootstrap = " + bootstrap + "\nlossesToBear = " + tolerableLosses())
         + ("\nseeds = " + String.join(",", seedAddresses))
         + ("\n[listen]\nhost = " + host(node) + "\nmemberPort = " + MEMBER_PORT + "\n" + listeners)
         + ("metricsPort = 0\n[platform]\nmachines = " + machinesAddress + "\n");
--- a/bench/src/test/java/org/plantainknot/bench/soak/SoakFaults.java
+++ b/bench/src/test/java/org/plantainknot/bench/soak/SoakFaults.java
@@ -11,8 +11,8 @@
 import java.util.concurrent.TimeUnit;
 
 /**
- * Injects overlapping faults: killed, frozen or stopped processes, partitioned or crashed workers,
- * departures that arrive late.
+ * Injects overlapping faults: killed, frozen or stopped processes, wiped disks, partitioned or
+ * crashed workers, departures that arrive late.
  *
  * <p>At most one controller and one gateway are unavailable at a time; three voters tolerate the
  * loss of one.
@@ -21,6 +21,9 @@
 
   private static final long FAULT_END_TIMEOUT_MILLIS = 40_000;
 
+  /** Time after its start within which a controller with an empty disk counts as lost. */
+  private static final long CATCH_UP_MILLIS = 4_000;
+
   private final SoakSite site;
   private final SplittableRandom random;
   private final ExecutorService executor = Executors.newCachedThreadPool();
@@ -42,7 +45,7 @@
   private void inject() {
     WorkerServer worker = site.workers().get(random.nextInt(site.workers().size()));
     long durationMillis = random.nextLong(200, 7_000);
-    switch (random.nextInt(8)) {
+    switch (random.nextInt(9)) {
       case 0 -> startNodeFault(randomController(), "kill", durationMillis / 2);
       case 1 -> startNodeFault(randomController(), "freeze", durationMillis / 2);
       case 2 -> startNodeFault(randomController(), "stop", 0);
@@ -55,6 +58,7 @@
         worker.link().dropTrafficOnOpenConnections();
       }
       case 6 -> sendLateDeparture(worker);
+      case 7 -> startNodeFault(randomController(), "wipe", durationMillis / 2);
       default -> {
         boolean sameName = random.nextBoolean();
         logFault("crash worker, same name " + sameName);
@@ -124,6 +128,13 @@
         }
         cluster.restart(node);
       }
+      case "wipe" -> {
+        cluster.process(node).kill();
+        cluster.wipe(node);
+        SoakCaller.pause(durationMillis);
+        cluster.restart(node);
+        SoakCaller.pause(CATCH_UP_MILLIS);
+      }
       default -> {
         cluster.process(node).kill();
         SoakCaller.pause(durationMillis);
--- a/bench/src/test/java/org/plantainknot/bench/soak/SoakOperator.java
+++ b/bench/src/test/java/org/plantainknot/bench/soak/SoakOperator.java
@@ -4,10 +4,10 @@
 import io.vertx.core.buffer.Buffer;
 import io.vertx.core.http.HttpMethod;
 import io.vertx.ext.web.client.HttpResponse;
+import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
 import java.util.SplittableRandom;
-import org.plantainknot.daemon.settings.HostPort;
 
 /** Operator that updates the configuration and reads it back through random controllers. */
 final class SoakOperator {
@@ -19,6 +19,7 @@
   private final SplittableRandom random;
   private long sentVersion;
   private long acknowledgedVersion;
+  private String acknowledgedBy;
 
   SoakOperator(SoakSite site, long seed) {
     this.site = site;
@@ -30,9 +31,12 @@
     sentVersion += random.nextInt(1, 4);
     ObjectNode document = configDocument(sentVersion);
     while (site.nowMillis() < deadlineMillis) {
-      int status = call(HttpMethod.PUT, document).map(HttpResponse::statusCode).orElse(0);
+      String controller = randomController();
+      int status =
+          call(controller, HttpMethod.PUT, document).map(HttpResponse::statusCode).orElse(0);
       if (status == OK) {
         acknowledgedVersion = sentVersion;
+        acknowledgedBy = controller;
         return true;
       }
       if (status >= BAD_REQUEST && status < 500 && status != 429 && status != 408) {
@@ -44,24 +48,53 @@
     return false;
   }
 
+  /** Returns the controller that acknowledged the latest configuration. */
+  String acknowledgedBy() {
+    return acknowledgedBy;
+  }
+
   /** Reads the configuration; it must not be older than the last acknowledged version. */
   void readConfig() {
+    readConfigAt(randomController());
+  }
+
+  /** Reads the configuration at each controller; each has to answer within the timeout. */
+  void readConfigAtEachController(String when, long timeoutMillis) {
+    long deadlineMillis = site.nowMillis() + timeoutMillis;
+    List<String> pending = new ArrayList<>(site.cluster().controllers());
+    while (!pending.isEmpty() && site.nowMillis() < deadlineMillis) {
+      pending.removeIf(this::readConfigAt);
+      SoakCaller.pause(50);
+    }
+    pending.forEach(
+        controller ->
+            site.recordViolation("the configuration can't be read at " + controller + " " + when));
+  }
+
+  /** Reads the configuration at a controller; returns whether it answered. */
+  private boolean readConfigAt(String controller) {
     long minVersion = acknowledgedVersion;
-    call(HttpMethod.GET, SoakSite.newJson())
-        .filter(answer -> answer.statusCode() == OK)
-        .map(answer -> answer.bodyAsJsonObject().getLong("version"))
-        .filter(version -> version < minVersion)
+    Optional<Long> version =
+        call(controller, HttpMethod.GET, SoakSite.newJson())
+            .filter(answer -> answer.statusCode() == OK)
+            .map(answer -> answer.bodyAsJsonObject().getLong("version"));
+    version
+        .filter(read -> read < minVersion)
         .ifPresent(
-            version ->
+            read ->
                 site.recordViolation(
-                    "read stale version " + version + " after acknowledged version " + minVersion));
+                    "read stale version " + read + " after acknowledged version " + minVersion));
+    return version.isPresent();
   }
 
-  private Optional<HttpResponse<Buffer>> call(HttpMethod method, ObjectNode body) {
+  private String randomController() {
     List<String> controllers = site.cluster().controllers();
-    HostPort address =
-        site.cluster().controlAddress(controllers.get(random.nextInt(controllers.size())));
-    return site.call(method, address, "/config", body);
+    return controllers.get(random.nextInt(controllers.size()));
+  }
+
+  private Optional<HttpResponse<Buffer>> call(
+      String controller, HttpMethod method, ObjectNode body) {
+    return site.call(method, site.cluster().controlAddress(controller), "/config", body);
   }
 
   private static ObjectNode configDocument(long version) {
--- a/bench/src/test/java/org/plantainknot/bench/soak/SoakSite.java
+++ b/bench/src/test/java/org/plantainknot/bench/soak/SoakSite.java
@@ -26,7 +26,7 @@
 
   static final String VIRTUAL_HOST = "h";
 
-  private static final int CONTROLLERS = 3;
+  private static final int[] CONTROLLERS = {3, 5};
   private static final int GATEWAYS = 2;
   private static final int WORKERS = 4;
   private static final int MACHINES_PORT = 7007;
@@ -55,7 +55,13 @@
         .createHttpServer()
         .requestHandler(request -> request.response().end("{\"machines\":[]}"))
         .listen(machinesAddress.port(), machinesAddress.host());
-    this.cluster = new SoakCluster(folder, subnet, CONTROLLERS, GATEWAYS, machinesAddress);
+    this.cluster =
+        new SoakCluster(
+            folder,
+            subnet,
+            CONTROLLERS[(int) (seed % CONTROLLERS.length)],
+            GATEWAYS,
+            machinesAddress);
     for (int i = 0; i < WORKERS; i++) {
       String host = "127.1." + subnet + "." + (201 + i);
       workers.add(new WorkerServer(this, vertx, host, i, oracle, seed + i));
@@ -143,7 +149,7 @@
   }
 
   private void sendHeartbeat(WorkerServer.HeartbeatRequest heartbeat, int attempt) {
-    if (attempt == CONTROLLERS || closed) {
+    if (attempt == cluster.controllers().size() || closed) {
       return;
     }
     HostPort address = cluster.controlAddress(cluster.controllers().get(attempt));
