--- a/core/src/test/java/org/plantainknot/core/schedule/FailingWorkTest.java
+++ b/core/src/test/java/org/plantainknot/core/schedule/FailingWorkTest.java
@@ -30,7 +30,7 @@
   /** Time within which a persistent task has to be at work again while there is room for it. */
   private static final long MAX_AWAY_MILLIS = 6_000;
 
-  /** Run on a worker: when it began, and whether the worker reports progress. */
+  /** State of a run on a worker; a persistent one is at 100% from its start. */
   private record Running(long sinceMillis, boolean persistent) {}
 
   private LeaderFixture leader;
