--- a/core/src/main/java/org/plantainknot/core/replica/Leadership.java
+++ b/core/src/main/java/org/plantainknot/core/replica/Leadership.java
@@ -73,20 +73,20 @@
   }
 
   /**
-   * Returns whether a majority of the voters has answered a round that started within the longest
-   * election timeout.
+   * Returns whether a majority of the voters has answered a round that started within the given
+   * time.
    *
    * <p>The start of the round counts, not the arrival of the replies, because a delayed leader may
    * process old replies late.
    */
-  boolean hasQuorumContact(Membership membership, long nowMillis, ReplicaTiming timing) {
+  boolean hasQuorumContact(Membership membership, long nowMillis, long withinMillis) {
     Map.Entry<Long, Long> confirmed = startedAtMillisByRound.floorEntry(confirmedRound(membership));
     long contactAtMillis = electedAtMillis;
     if (confirmed != null) {
       startedAtMillisByRound.headMap(confirmed.getKey()).clear();
       contactAtMillis = Math.max(contactAtMillis, confirmed.getValue());
     }
-    return nowMillis - contactAtMillis <= timing.maxElectionTimeoutMillis();
+    return nowMillis - contactAtMillis <= withinMillis;
   }
 
   /** Makes the contact with the majority count only once a round that starts later is answered. */
