End the process when an error ends the storage thread

Cause: the thread that writes to the storage caught RuntimeException only. An OutOfMemoryError ended the thread alone, and the process lived on as a member that neither votes nor acknowledges an entry. A leader without the thread goes on as long as three others acknowledge; once a majority of the controllers is in that state, nothing is committed until they are started again by hand.

Change: errors are handled like failed writes, so that the process ends and is started again on its disk.

Evidence: StorageWriterTest.anErrorOnTheThreadIsReportedAsAFailure failed before ("expected [true] but found [false]", and the thread's stack on the standard error), and passes now.

--- a/daemon/src/main/java/org/plantainknot/daemon/control/StorageWriter.java
+++ b/daemon/src/main/java/org/plantainknot/daemon/control/StorageWriter.java
@@ -14,8 +14,9 @@
 /**
  * Thread that writes to the storage, with one sync for each batch of queued records.
  *
- * <p>The thread stops at the first failed write and calls the failure handler, which has to end the
- * process, because no later sync could be trusted.
+ * <p>The thread stops at the first failed write, or at an error such as one of memory, and calls
+ * the failure handler. That has to end the process: no later sync could be trusted, and a member
+ * without this thread would seem to work but never vote or acknowledge an entry.
  */
 public final class StorageWriter implements AutoCloseable {
 
@@ -102,7 +103,7 @@
       }
     } catch (InterruptedException e) {
       Thread.currentThread().interrupt();
-    } catch (RuntimeException e) {
+    } catch (RuntimeException | Error e) {
       logger.atSevere().withCause(e).log("storage-failed");
       onFailure.run();
     }
--- a/daemon/src/test/java/org/plantainknot/daemon/control/StorageWriterTest.java
+++ b/daemon/src/test/java/org/plantainknot/daemon/control/StorageWriterTest.java
@@ -2,6 +2,7 @@
 
 import static org.testng.Assert.assertEquals;
 import static org.testng.Assert.assertFalse;
+import static org.testng.Assert.assertTrue;
 
 import java.io.UncheckedIOException;
 import java.nio.channels.ClosedByInterruptException;
@@ -9,6 +10,7 @@
 import java.util.Collections;
 import java.util.List;
 import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicBoolean;
 import org.plantainknot.core.replica.Entry;
 import org.plantainknot.core.replica.LogRecord;
@@ -20,16 +22,17 @@
 import org.testng.annotations.Test;
 
 /**
- * Tests that closing the writer completes the queued writes.
+ * Tests that closing the writer completes the queued writes, and that its thread never ends unseen.
  *
  * <p>If closing interrupted the thread, the file channel would be closed in the middle of a write.
  */
 public class StorageWriterTest {
 
   private static final long SYNC_MILLIS = 100;
+  private static final long FAILURE_TIMEOUT_SECONDS = 5;
 
   /** Storage with a slow sync that fails when its thread is interrupted, as file channels do. */
-  private static final class SlowStorage implements ReplicaStorage {
+  private static class SlowStorage implements ReplicaStorage {
 
     private final List<LogRecord> written = Collections.synchronizedList(new ArrayList<>());
     private final CountDownLatch appendStarted = new CountDownLatch(1);
@@ -74,4 +77,20 @@
     assertFalse(failed.get(), "a write failed");
     assertEquals(storage.written, List.of(new Truncated(1), new Truncated(2)));
   }
+
+  /** Guards against a member that lives on, but never votes or acknowledges an entry again. */
+  @Test
+  void anErrorOnTheThreadIsReportedAsAFailure() throws InterruptedException {
+    CountDownLatch failed = new CountDownLatch(1);
+    ReplicaStorage storage =
+        new SlowStorage() {
+          @Override
+          public void append(List<LogRecord> records) {
+            throw new OutOfMemoryError("no room for a buffer");
+          }
+        };
+    StorageWriter writer = new StorageWriter(storage, token -> {}, failed::countDown);
+    writer.write(List.of(new Truncated(1)), 1);
+    assertTrue(failed.await(FAILURE_TIMEOUT_SECONDS, TimeUnit.SECONDS));
+  }
 }
