--- a/daemon/src/main/java/org/plantainknot/daemon/controller/Compactor.java
+++ b/daemon/src/main/java/org/plantainknot/daemon/controller/Compactor.java
@@ -5,6 +5,7 @@
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
 import java.util.concurrent.ThreadLocalRandom;
+import java.util.function.Function;
 import org.plantainknot.core.job.JobLedger;
 import org.plantainknot.core.replica.Replica;
 import org.plantainknot.core.replica.Snapshot;
@@ -25,6 +26,7 @@
   private final ReplicaDriver driver;
   private final JobLedger ledger;
   private final Executor controlThread;
+  private final Function<JobLedger.Image, byte[]> codec;
   private final ExecutorService encoder =
       Executors.newSingleThreadExecutor(task -> new Thread(task, "snapshot"));
   private final SnapshotThreshold threshold =
@@ -32,10 +34,25 @@
   private boolean encoding;
 
   Compactor(Replica replica, ReplicaDriver driver, JobLedger ledger, Executor controlThread) {
+    this(replica, driver, ledger, controlThread, StateCodec::write);
+  }
+
+  /**
+   * Creates a compactor with a codec of its own.
+   *
+   * @param codec encodes the state on the thread of the snapshots
+   */
+  Compactor(
+      Replica replica,
+      ReplicaDriver driver,
+      JobLedger ledger,
+      Executor controlThread,
+      Function<JobLedger.Image, byte[]> codec) {
     this.replica = replica;
     this.driver = driver;
     this.ledger = ledger;
     this.controlThread = controlThread;
+    this.codec = codec;
   }
 
   /**
@@ -55,9 +72,9 @@
   /** Rethrows an encoding failure on the control thread, which halts the process. */
   private void encode(JobLedger.Image image, long index) {
     try {
-      byte[] data = StateCodec.write(image);
+      byte[] data = codec.apply(image);
       controlThread.execute(() -> compact(index, data));
-    } catch (RuntimeException e) {
+    } catch (RuntimeException | Error e) {
       controlThread.execute(
           () -> {
             throw e;
