Pause before a failed list of machines is requested again

What was seen: a leader whose machine service refuses connections sent about 45 requests a second and logged each one. The platform accepts 64 readings a second from all processes together, and the leader used a third of a core for this.

Cause: MachineTable asked again at once, that is at the next tick of 20 ms, as long as it had no list yet. A silent service hides this, since its requests time out.

Change: while there is no list the next request follows 250 ms after the last one.

Evidence: MachineTableTest.aListThatFailsAtOnceIsRequestedAgainOnlyAfterAPause failed before with 50 requests in a second.

Ruled out on related paths: orders for machines wait 500 ms, renewals of workers 200 ms, links 200 ms.

--- a/core/src/main/java/org/plantainknot/core/schedule/MachineTable.java
+++ b/core/src/main/java/org/plantainknot/core/schedule/MachineTable.java
@@ -10,10 +10,15 @@
 
   private static final long INTERVAL_MILLIS = 2_000;
 
+  /** Shortest time between two requests while there is no list yet. */
+  private static final long RETRY_MILLIS = 250;
+
+  private static final long NEVER_MILLIS = Long.MIN_VALUE / 2;
+
   private final Map<String, Machine> machines = new HashMap<>();
   private boolean requestPending;
   private boolean known;
-  private long requestedAtMillis;
+  private long requestedAtMillis = NEVER_MILLIS;
 
   void replaceAll(List<Machine> list) {
     requestPending = false;
@@ -48,7 +53,8 @@
 
   /** Returns whether the list is due, and if so marks it as requested. */
   boolean markRequestedIfDue(long nowMillis) {
-    boolean due = !requestPending && (!known || nowMillis - requestedAtMillis >= INTERVAL_MILLIS);
+    long intervalMillis = known ? INTERVAL_MILLIS : RETRY_MILLIS;
+    boolean due = !requestPending && nowMillis - requestedAtMillis >= intervalMillis;
     if (due) {
       requestPending = true;
       requestedAtMillis = nowMillis;
