Plan a gang only once there is room for all of it

Cause: a gang was placed task by task and taken back if the last one found no room. Each placed task looked for the gang's run number among all created tasks, and the first attempt created them, so that a planning round took the square of the gang's width. The leader can't send heartbeats meanwhile; from 0.6 s on it may be replaced, and its successor plans the same.

Change: the room for a gang is counted first, without allocating, and its run number is looked up once. Taking allocations back is not needed any more.

--- a/core/src/main/java/org/plantainknot/core/placement/Resources.java
+++ b/core/src/main/java/org/plantainknot/core/placement/Resources.java
@@ -61,4 +61,22 @@
         && memoryMib <= capacity.memoryMib
         && accelerators <= capacity.accelerators;
   }
+
+  /**
+   * Returns how many times the given size fits into these amounts, at most {@link
+   * Integer#MAX_VALUE} times. An amount that the size doesn't need limits nothing, unless it is
+   * negative.
+   */
+  public long timesLarger(Resources size) {
+    long processor = timesLarger(milliCores, size.milliCores);
+    long memory = timesLarger(memoryMib, size.memoryMib);
+    return Math.min(Math.min(processor, memory), timesLarger(accelerators, size.accelerators));
+  }
+
+  private static long timesLarger(long available, long needed) {
+    if (available < needed) {
+      return 0;
+    }
+    return needed == 0 ? Integer.MAX_VALUE : Math.min(Integer.MAX_VALUE, available / needed);
+  }
 }
--- a/core/src/main/java/org/plantainknot/core/schedule/Planner.java
+++ b/core/src/main/java/org/plantainknot/core/schedule/Planner.java
@@ -266,34 +266,29 @@
   }
 
   /**
-   * Assigns tasks of a group to workers that have room for them.
+   * Assigns tasks of a group to workers that have room for them. A gang is assigned as a whole or
+   * not at all, and takes no time if there isn't room for all of it.
    *
    * @param maxTasks maximum number of tasks, unless the group is a gang
    */
   private List<Assignment> place(Group group, List<Slot> slots, int maxTasks, long nowMillis) {
-    Slot slot = bestSlot(group, slots, nowMillis);
-    if (slot == null) {
+    boolean gang = group.spec().gang();
+    List<Slot> allowed = slots.stream().filter(slot -> mayRun(group, slot, nowMillis)).toList();
+    if (gang && room(group, allowed) < group.waiting()) {
       return List.of();
     }
-    boolean gang = group.spec().gang();
+    int gangRun = gang ? nextGangRun(group) : 0;
     List<Assignment> placed = new ArrayList<>();
-    List<Slot> used = new ArrayList<>();
     Iterator<Task> waiting = group.job().waitingTasks(group.occurrence(), group.step());
+    Slot slot = bestSlot(group, allowed);
     while (slot != null && (gang || placed.size() < maxTasks) && waiting.hasNext()) {
       Task task = waiting.next();
       if (!proposals.containsKey(task.id())) {
         slot.allocate(task.id(), task.step());
-        used.add(slot);
-        RunId run = new RunId(task.id(), nextRun(group, task));
+        RunId run = new RunId(task.id(), gang ? gangRun : task.run() + 1);
         placed.add(new Assignment(run, slot.worker().life()));
-        slot = bestSlot(group, slots, nowMillis);
-      }
-    }
-    if (gang && placed.size() < group.waiting()) {
-      for (int i = 0; i < used.size(); i++) {
-        used.get(i).release(placed.get(i).run().task(), group.spec());
+        slot = bestSlot(group, allowed);
       }
-      return List.of();
     }
     placed.forEach(
         assignment ->
@@ -301,6 +296,10 @@
     return placed;
   }
 
+  private static long room(Group group, List<Slot> slots) {
+    return slots.stream().mapToLong(slot -> slot.room(group.id(), group.spec())).sum();
+  }
+
   private boolean mayRun(Group group, Slot slot, long nowMillis) {
     return !group.advised()
         || !dispatcher.advisor().ticket(group.id(), slot.worker().life(), nowMillis).isEmpty();
@@ -322,11 +321,8 @@
     }
   }
 
-  /** Returns the number of a task's next run, which all tasks of a gang share. */
-  private static int nextRun(Group group, Task task) {
-    if (!group.spec().gang()) {
-      return task.run() + 1;
-    }
+  /** Returns the number of a gang's next run, which all of its tasks share. */
+  private static int nextGangRun(Group group) {
     return 1
         + group.job().createdTasks(group.occurrence(), group.step()).stream()
             .mapToInt(Task::run)
@@ -334,12 +330,13 @@
             .orElse(0);
   }
 
-  private Slot bestSlot(Group group, List<Slot> slots, long nowMillis) {
+  private static Slot bestSlot(Group group, List<Slot> slots) {
     StepSpec step = group.spec();
+    StepId id = group.id();
     Slot best = null;
     double bestScore = Double.NEGATIVE_INFINITY;
     for (Slot slot : slots) {
-      if (slot.fits(group.id(), step) && mayRun(group, slot, nowMillis)) {
+      if (slot.fits(id, step)) {
         double score = slot.score(step);
         if (score > bestScore) {
           best = slot;
--- a/core/src/main/java/org/plantainknot/core/schedule/Slot.java
+++ b/core/src/main/java/org/plantainknot/core/schedule/Slot.java
@@ -49,38 +49,36 @@
   /** Allocates a task that is at work, so that it doesn't count on probation. */
   void allocateProven(TaskId task, StepSpec step) {
     free = free.minus(step.reserved());
-    count(task.stepId(), step, 1);
-  }
-
-  /** Undoes {@link #allocate}. */
-  void release(TaskId task, StepSpec step) {
-    free = free.plus(step.reserved());
-    count(task.stepId(), step, -1);
-    unprovenTasks--;
-  }
-
-  private void count(StepId id, StepSpec step, int change) {
-    tasksByStep.merge(id, change, Integer::sum);
+    tasksByStep.merge(task.stepId(), 1, Integer::sum);
     if (step.persistent()) {
-      persistentTasks += change;
-      persistentMilliCores += change * step.reserved().milliCores();
+      persistentTasks++;
+      persistentMilliCores += step.reserved().milliCores();
     }
     if (step.fills()) {
-      fillerTasks += change;
+      fillerTasks++;
     } else if (step.targetMillis() > 0) {
-      latencyBoundTasks += change;
+      latencyBoundTasks++;
     }
   }
 
   boolean fits(StepId id, StepSpec step) {
-    boolean full = !step.reserved().fitsInto(free);
-    if (full || (onProbation && unprovenTasks > 0)) {
-      return false;
-    }
+    return room(id, step) > 0;
+  }
+
+  /** Returns how many more tasks of a step fit, without allocating them. */
+  long room(StepId id, StepSpec step) {
     boolean hasRequiredLabel = step.requiredLabel().isEmpty() || hasLabel(step.requiredLabel());
-    int placed = tasksByStep.getOrDefault(id, 0);
-    boolean belowMaxPerWorker = step.maxPerWorker() == 0 || placed < step.maxPerWorker();
-    return hasRequiredLabel && belowMaxPerWorker;
+    if (!hasRequiredLabel) {
+      return 0;
+    }
+    long room = free.timesLarger(step.reserved());
+    if (onProbation) {
+      room = Math.min(room, 1 - unprovenTasks);
+    }
+    if (step.maxPerWorker() > 0) {
+      room = Math.min(room, step.maxPerWorker() - tasksByStep.getOrDefault(id, 0));
+    }
+    return Math.max(0, room);
   }
 
   /**
--- a/core/src/test/java/org/plantainknot/core/schedule/LargeNumbersTest.java
+++ b/core/src/test/java/org/plantainknot/core/schedule/LargeNumbersTest.java
@@ -5,6 +5,7 @@
 import static org.testng.Assert.assertTrue;
 
 import java.util.List;
+import java.util.concurrent.TimeUnit;
 import org.plantainknot.core.job.Assignment;
 import org.plantainknot.core.job.EndKind;
 import org.plantainknot.core.job.JobCommand;
@@ -17,6 +18,7 @@
 import org.plantainknot.core.job.StepSpec;
 import org.plantainknot.core.job.TaskId;
 import org.plantainknot.core.job.WorkerIncarnation;
+import org.plantainknot.core.replica.ReplicaTiming;
 import org.testng.annotations.BeforeMethod;
 import org.testng.annotations.Test;
 
@@ -28,6 +30,7 @@
 
   private static final int MAX_PLANNED = 200;
   private static final int MAX_CONSIDERED = 8;
+  private static final int GANG_TASKS = 10_000;
   private static final WorkerIncarnation WORKER = new WorkerIncarnation("w", 1);
 
   private LeaderFixture leader;
@@ -84,6 +87,43 @@
     assertEquals(leader.planAndAssign().size(), MAX_PLANNED);
   }
 
+  /** Guards against rounds so long that the leader loses its office again and again. */
+  @Test
+  void gangsThatAreWiderThanTheirPoolDontHoldUpPlanning() {
+    addWorkers(12);
+    StepSpec step = LeaderFixture.step(GANG_TASKS, 20).gang(true).build();
+    List<String> gangs = List.of("a", "b", "c");
+    gangs.forEach(gang -> leader.submit(gang, "s", step));
+    leader.submit("j", "s", LeaderFixture.step(2, 100).build());
+    assertEquals(planWithinElectionTimeout().size(), 2);
+    for (String gang : gangs) {
+      assertTrue(leader.ledger.job(gang).orElseThrow().createdTasks(0, 0).isEmpty(), gang);
+    }
+  }
+
+  @Test
+  void aWideGangThatItsPoolHasRoomForIsPlacedAsAWhole() {
+    addWorkers(20);
+    leader.submit("j", "s", LeaderFixture.step(GANG_TASKS, 20).gang(true).build());
+    assertEquals(planWithinElectionTimeout().size(), GANG_TASKS);
+  }
+
+  private void addWorkers(int count) {
+    for (int i = 1; i < count; i++) {
+      leader.addWorker("w" + i, "s");
+    }
+  }
+
+  private List<Assignment> planWithinElectionTimeout() {
+    long startNanos = System.nanoTime();
+    List<Assignment> planned = leader.planAndAssign();
+    long tookMillis = TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - startNanos);
+    assertTrue(
+        tookMillis < ReplicaTiming.DEFAULT.minElectionTimeoutMillis(),
+        "planning took " + tookMillis + " ms");
+    return planned;
+  }
+
   @Test
   void aScheduledJobCompletesOnceItsLastOccurrenceHasEnded() {
     submit(new Schedule(3, 0, 1), LeaderFixture.step(2, 100).build());
