Soak: start processes as the deploy file says, and lose gateways beside wiped disks

The soak started its processes with a class path and options of its own. It takes the commands of deploy/system.toml and the settings template now, with the bounds of the users' smallest deployments, so that it would see a fault of either. A fourth final fault kills the gateways too while as many disks as may be lost are wiped: the users' final faults may take all other machines at the same moment. The checks are as they were, the configuration is read at each controller after the faults and after the final one.

--- a/bench/src/main/java/org/plantainknot/bench/cluster/DaemonProcess.java
+++ b/bench/src/main/java/org/plantainknot/bench/cluster/DaemonProcess.java
@@ -37,9 +37,21 @@
             "org.plantainknot.daemon.PlantainknotDaemon",
             "--settings",
             settings.toString()));
+    return start(command, Path.of(""), log);
+  }
+
+  /**
+   * Starts a daemon by a command.
+   *
+   * @param command program and arguments
+   * @param folder working directory of the process
+   * @param log file to which the output of the daemon is appended
+   */
+  public static DaemonProcess start(List<String> command, Path folder, Path log) {
     try {
       return new DaemonProcess(
           new ProcessBuilder(command)
+              .directory(folder.toAbsolutePath().toFile())
               .redirectErrorStream(true)
               .redirectOutput(Redirect.appendTo(log.toFile()))
               .start());
--- a/bench/src/test/java/org/plantainknot/bench/soak/SoakClosing.java
+++ b/bench/src/test/java/org/plantainknot/bench/soak/SoakClosing.java
@@ -8,18 +8,28 @@
 /** Final fault of a soak, which strikes right after a configuration was acknowledged. */
 enum SoakClosing {
   /** All controllers are killed at once. */
-  KILL_CONTROLLERS,
+  KILL_CONTROLLERS(false, false),
   /** All processes are killed at once. */
-  KILL_ALL,
+  KILL_ALL(true, false),
   /**
    * All controllers are killed at once, and as many as the cluster tolerates lose their disks: the
    * one that acknowledged the configuration and others.
    */
-  WIPE_AFTER_ACKNOWLEDGEMENT;
+  WIPE_AFTER_ACKNOWLEDGEMENT(false, true),
+  /** The same, and all gateways are killed with them. */
+  WIPE_AND_KILL_ALL(true, true);
 
   private static final long MIN_DOWN_MILLIS = 300;
   private static final long MAX_DOWN_MILLIS = 1_600;
 
+  private final boolean killsGateways;
+  private final boolean wipesDisks;
+
+  SoakClosing(boolean killsGateways, boolean wipesDisks) {
+    this.killsGateways = killsGateways;
+    this.wipesDisks = wipesDisks;
+  }
+
   /**
    * Strikes, and starts all processes again.
    *
@@ -27,11 +37,11 @@
    */
   void strike(SoakCluster cluster, String acknowledgedBy, SplittableRandom random) {
     List<String> nodes = new ArrayList<>(cluster.controllers());
-    if (this == KILL_ALL) {
+    if (killsGateways) {
       nodes.addAll(cluster.gateways());
     }
     nodes.forEach(node -> cluster.process(node).kill());
-    if (this == WIPE_AFTER_ACKNOWLEDGEMENT) {
+    if (wipesDisks) {
       wipedNodes(cluster, acknowledgedBy, random).forEach(cluster::wipe);
     }
     SoakCaller.pause(random.nextLong(MIN_DOWN_MILLIS, MAX_DOWN_MILLIS));
--- a/bench/src/test/java/org/plantainknot/bench/soak/SoakCluster.java
+++ b/bench/src/test/java/org/plantainknot/bench/soak/SoakCluster.java
@@ -5,6 +5,7 @@
 import java.net.Socket;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
@@ -14,7 +15,10 @@
 import org.plantainknot.bench.cluster.OperatorClient;
 import org.plantainknot.daemon.settings.HostPort;
 
-/** Gateway and controller processes, each on its own loopback address. */
+/**
+ * Gateway and controller processes, each on its own loopback address, started by the commands of
+ * the deploy file on its settings template.
+ */
 final class SoakCluster implements AutoCloseable {
 
   private static final int CALLER_PORT = 7001;
@@ -22,6 +26,17 @@
   private static final int CONTROL_PORT = 7003;
   private static final int MEMBER_PORT = 7004;
   private static final long STOP_TIMEOUT_MILLIS = 8_000;
+
+  /** Time bounds of the users' smallest deployments. */
+  private static final Map<String, String> BOUNDS =
+      Map.of(
+          "bounds.hold_max_ms", "6000",
+          "bounds.stop_ms", "900",
+          "bounds.lease_ms", "3000",
+          "bounds.maintenance_s", "2",
+          "bounds.notice_ms", "4500",
+          "bounds.grace_s", "6");
+
   private static final long START_TIMEOUT_MILLIS = 15_000;
 
   private final Path folder;
@@ -124,35 +139,39 @@
     try {
       Path settings = folder.resolve(node + ".ini");
       Files.writeString(settings, settings(node, bootstrap));
-      processes.put(node, DaemonProcess.start(settings, folder.resolve(node + ".log"), List.of()));
+      List<String> command = DeployFile.command(roleOf(node), settings);
+      Path log = folder.resolve(node + ".log");
+      processes.put(node, DaemonProcess.start(command, DeployFile.root(), log));
     } catch (IOException e) {
       throw new UncheckedIOException(e);
     }
   }
 
   private String settings(String node, boolean bootstrap) {
-    boolean controller = controllers.contains(node);
-    List<String> seedAddresses =
+    List<String> seeds =
         controllers.stream().limit(3).map(seed -> controlAddress(seed).toString()).toList();
-    String role =
-        controller
-            ? "role = controller\ndataFolder = " + folder.resolve(node) + "\n"
-            : "role = gateway\n";
-    String listeners =
-        controller
-            ? "control = " + controlAddress(node) + "\n"
-            : "callers = "
-                + callerAddress(node)
-                + "\nready = "
-                + host(node)
-                + ":"
-                + READY_PORT
-                + "\n";
-    return ("[process]\nnode = " + node + "\n" + role)
-        + ("bootstrap = " + bootstrap + "\nlossesToBear = " + tolerableLosses())
-        + ("\nseeds = " + String.join(",", seedAddresses))
-        + ("\n[listen]\nhost = " + host(node) + "\nmemberPort = " + MEMBER_PORT + "\n" + listeners)
-        + ("metricsPort = 0\n[platform]\nmachines = " + machinesAddress + "\n");
+    Map<String, String> values = new HashMap<>(BOUNDS);
+    values.put("node", node);
+    values.put("role", roleOf(node));
+    values.put("zone", "dc");
+    values.put("bootstrap", Boolean.toString(bootstrap));
+    values.put("tolerate.machines", Integer.toString(tolerableLosses()));
+    values.put("seeds", String.join(",", seeds));
+    values.put("ip", host(node));
+    values.put("port_range.0", Integer.toString(MEMBER_PORT));
+    values.put("cloud.address", machinesAddress.toString());
+    if (controllers.contains(node)) {
+      values.put("data_dir", folder.resolve(node).toString());
+      values.put("listen.control", controlAddress(node).toString());
+    } else {
+      values.put("listen.front", callerAddress(node).toString());
+      values.put("listen.ready", host(node) + ":" + READY_PORT);
+    }
+    return DeployFile.settings(values);
+  }
+
+  private String roleOf(String node) {
+    return controllers.contains(node) ? "controller" : "gateway";
   }
 
   private String host(String node) {
