Run due timers between slow tasks of the control thread

The leader was replaced each time requests had piled up; meanwhile no configuration is acknowledged and leases of work aren't renewed.

Cause: the control thread runs up to 64 waiting tasks as one batch. The timer that sends heartbeats waits for the whole batch, so 64 requests of 10 ms or more each (decoding a large submission takes that warm, and many times that after a start) hold it up for longer than the election timeout of 0.6 to 1.2 s. The next leader gets the same requests again.

Change: a batch also ends after 20 ms. Timers that are due run before the tasks that still wait, since the executor orders by time. Batches and timers of 300 ms or more are logged (control-slow), which was not to be seen before.

Evidence: ControlThreadTest.aTimerIsNotHeldUpByManySlowTasksThatWait failed before (the timer paused for 3,116 ms; the bound is the shortest election timeout), and passes now.

--- a/daemon/src/main/java/org/plantainknot/daemon/control/ControlThread.java
+++ b/daemon/src/main/java/org/plantainknot/daemon/control/ControlThread.java
@@ -25,6 +25,15 @@
   /** Tasks after which the end of a batch is signalled although more tasks wait. */
   private static final int MAX_BATCH_TASKS = 64;
 
+  /**
+   * Time after which the end of a batch is signalled although more tasks wait, so that timers that
+   * are due run between slow tasks: a leader that sends no heartbeats is replaced.
+   */
+  private static final long MAX_BATCH_NANOS = TimeUnit.MILLISECONDS.toNanos(20);
+
+  /** Duration of a batch or a timer from which it is logged; elections follow soon after. */
+  private static final long SLOW_NANOS = TimeUnit.MILLISECONDS.toNanos(300);
+
   private final ScheduledExecutorService executor =
       Executors.newSingleThreadScheduledExecutor(task -> new Thread(task, "control"));
 
@@ -93,10 +102,12 @@
   }
 
   private void runBatch() {
+    long startNanos = System.nanoTime();
     Runnable task = tasks.poll();
     for (int i = 1; task != null; i++) {
       task.run();
-      task = i < MAX_BATCH_TASKS ? tasks.poll() : null;
+      boolean mayContinue = i < MAX_BATCH_TASKS && System.nanoTime() - startNanos < MAX_BATCH_NANOS;
+      task = mayContinue ? tasks.poll() : null;
     }
     onBatchEnd.run();
     batchPosted.set(false);
@@ -107,11 +118,19 @@
   }
 
   private static void runOrHalt(Runnable task) {
+    long startNanos = System.nanoTime();
     try {
       task.run();
+      logIfSlow(System.nanoTime() - startNanos);
     } catch (RuntimeException | Error e) {
       logger.atSevere().withCause(e).log("control-failed");
       ExitStatus.FAILED.halt();
     }
   }
+
+  private static void logIfSlow(long tookNanos) {
+    if (tookNanos >= SLOW_NANOS) {
+      logger.atWarning().log("control-slow took-ms=%d", TimeUnit.NANOSECONDS.toMillis(tookNanos));
+    }
+  }
 }
--- a/daemon/src/test/java/org/plantainknot/daemon/control/ControlThreadTest.java
+++ b/daemon/src/test/java/org/plantainknot/daemon/control/ControlThreadTest.java
@@ -9,7 +9,9 @@
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
+import java.util.concurrent.atomic.AtomicLong;
 import java.util.stream.IntStream;
+import org.plantainknot.core.replica.ReplicaTiming;
 import org.testng.annotations.AfterMethod;
 import org.testng.annotations.BeforeMethod;
 import org.testng.annotations.Test;
@@ -20,6 +22,9 @@
   private static final int TASKS = 1_000;
   private static final int SENDERS = 4;
   private static final int TIMEOUT_SECONDS = 10;
+  private static final int SLOW_TASKS = 60;
+  private static final long SLOW_TASK_MILLIS = 50;
+  private static final long TIMER_MILLIS = 20;
 
   private final AtomicInteger batches = new AtomicInteger();
   private final List<Integer> ran = Collections.synchronizedList(new ArrayList<>());
@@ -50,6 +55,39 @@
     assertTrue(batches.get() < TASKS / 10, batches + " batches");
   }
 
+  /** Guards against a leader that is replaced because requests that wait hold up its heartbeats. */
+  @Test
+  void aTimerIsNotHeldUpByManySlowTasksThatWait() throws InterruptedException {
+    AtomicLong lastRunNanos = new AtomicLong(System.nanoTime());
+    AtomicLong longestPauseNanos = new AtomicLong();
+    control.repeat(
+        () -> {
+          long now = System.nanoTime();
+          long pause = now - lastRunNanos.getAndSet(now);
+          longestPauseNanos.accumulateAndGet(pause, Math::max);
+        },
+        TIMER_MILLIS);
+    CountDownLatch done = new CountDownLatch(SLOW_TASKS);
+    IntStream.range(0, SLOW_TASKS).forEach(i -> control.execute(() -> runSlowly(done)));
+    assertTrue(done.await(TIMEOUT_SECONDS, TimeUnit.SECONDS), done.getCount() + " left");
+    CountDownLatch timerRan = new CountDownLatch(1);
+    control.schedule(timerRan::countDown, TIMER_MILLIS);
+    assertTrue(timerRan.await(TIMEOUT_SECONDS, TimeUnit.SECONDS));
+    long longestPauseMillis = TimeUnit.NANOSECONDS.toMillis(longestPauseNanos.get());
+    assertTrue(
+        longestPauseMillis < ReplicaTiming.DEFAULT.minElectionTimeoutMillis(),
+        "the timer paused for " + longestPauseMillis + " ms");
+  }
+
+  private static void runSlowly(CountDownLatch done) {
+    try {
+      Thread.sleep(SLOW_TASK_MILLIS);
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+    }
+    done.countDown();
+  }
+
   @Test
   void noTaskIsLeftOverWhenSeveralThreadsSend() throws InterruptedException {
     CountDownLatch done = new CountDownLatch(SENDERS * TASKS);
