Bound the heap that open jobs take, and encode steps without their defaults

Change: fields of a step that are zero, false or empty are left out (513 KB for the same submission). The heap that open and pending jobs take is estimated; a new submission beyond 16 MB is rejected at once (429, Retry-After 2 s) before it is proposed. Copies of submissions that were accepted or are pending are answered as before. A controller of the build before can't read the new encoding.

Evidence: RequestProcessorTest.submissionsBeyondTheBytesOfTheBacklogAreRejectedWithoutBeingProposed failed before (56 proposed).

Ruled out on related paths: tasks are created as they start; ended jobs are kept without their work; the log has a bound.

--- a/core/src/main/java/org/plantainknot/core/job/JobLedger.java
+++ b/core/src/main/java/org/plantainknot/core/job/JobLedger.java
@@ -77,6 +77,7 @@
   private FleetConfig config = FleetConfig.NONE;
   private QueueTable queues = new QueueTable(FleetConfig.NONE);
   private long clockMillis;
+  private long openHeapBytes;
 
   /** Returns the configuration in force. */
   public FleetConfig config() {
@@ -117,6 +118,11 @@
     return openJobs;
   }
 
+  /** Returns an estimate of the heap that the specifications of the open jobs take. */
+  public long openHeapBytes() {
+    return openHeapBytes;
+  }
+
   /** Returns the task with the given identifier, or null if it was never assigned or is unknown. */
   public Task task(TaskId id) {
     Job job = jobs.get(id.job());
@@ -212,6 +218,7 @@
     queues = new QueueTable(config);
     jobs.clear();
     openJobs.clear();
+    openHeapBytes = 0;
     closedJobs.clear();
     lastEnds.clear();
     waves.clear();
@@ -226,6 +233,7 @@
   private void add(Job job) {
     jobs.put(job.spec().id(), job);
     openJobs.add(job);
+    openHeapBytes += job.spec().heapBytes();
     closeIfFinished(job);
   }
 
@@ -361,6 +369,7 @@
 
   private void closeIfFinished(Job job) {
     if (job.status().isEnded() && !job.isAnyAssigned() && openJobs.remove(job)) {
+      openHeapBytes -= job.spec().heapBytes();
       job.discardWork();
       closedJobs.add(job);
     }
--- a/core/src/main/java/org/plantainknot/core/job/JobSpec.java
+++ b/core/src/main/java/org/plantainknot/core/job/JobSpec.java
@@ -16,6 +16,9 @@
 public record JobSpec(
     String id, String queue, String payload, List<StepSpec> steps, Schedule schedule) {
 
+  /** Heap that an open job takes, without its payload and steps. */
+  private static final long FIXED_BYTES = 500;
+
   /** Makes a defensive copy of the steps. */
   public JobSpec {
     steps = List.copyOf(steps);
@@ -26,6 +29,11 @@
     return new JobSpec(id, queue, "", List.of(), Schedule.NOW);
   }
 
+  /** Returns an estimate of the heap that the job takes while it is open. */
+  public long heapBytes() {
+    return FIXED_BYTES + payload.length() + steps.stream().mapToLong(StepSpec::heapBytes).sum();
+  }
+
   /** Returns whether any task of the job runs until it is cancelled. */
   public boolean isPersistent() {
     return steps.stream().anyMatch(StepSpec::persistent);
--- a/core/src/main/java/org/plantainknot/core/job/StepSpec.java
+++ b/core/src/main/java/org/plantainknot/core/job/StepSpec.java
@@ -42,9 +42,26 @@
     boolean fills,
     int maxUnavailable) {
 
-  /** Makes a defensive copy of the list. */
+  /** Heap that a step of an open job takes, without its lists and strings. */
+  private static final long FIXED_BYTES = 320;
+
+  private static final long BYTES_PER_DEPENDENCY = 24;
+
+  /** Makes a defensive copy of the list; the encoding leaves out what is empty. */
   public StepSpec {
-    dependsOn = List.copyOf(dependsOn);
+    dependsOn = dependsOn == null ? List.of() : List.copyOf(dependsOn);
+    requiredLabel = requiredLabel == null ? "" : requiredLabel;
+    dataRack = dataRack == null ? "" : dataRack;
+    image = image == null ? "" : image;
+  }
+
+  /** Returns an estimate of the heap that the step takes while its job is open. */
+  long heapBytes() {
+    return FIXED_BYTES
+        + BYTES_PER_DEPENDENCY * dependsOn.size()
+        + requiredLabel.length()
+        + dataRack.length()
+        + image.length();
   }
 
   /** Returns the part of a worker's capacity that is reserved for a task. */
--- a/daemon/src/main/java/org/plantainknot/daemon/control/StateCodec.java
+++ b/daemon/src/main/java/org/plantainknot/daemon/control/StateCodec.java
@@ -1,6 +1,7 @@
 package org.plantainknot.daemon.control;
 
 import com.fasterxml.jackson.annotation.JsonAutoDetect.Visibility;
+import com.fasterxml.jackson.annotation.JsonInclude;
 import com.fasterxml.jackson.annotation.JsonTypeInfo;
 import com.fasterxml.jackson.annotation.PropertyAccessor;
 import com.fasterxml.jackson.core.JsonProcessingException;
@@ -17,6 +18,7 @@
 import org.plantainknot.core.error.ErrorCode;
 import org.plantainknot.core.error.PlantainknotException;
 import org.plantainknot.core.job.JobCommand;
+import org.plantainknot.core.job.StepSpec;
 
 /** Encodes commands, calls and snapshots as CBOR (RFC 8949), and provides the JSON mapper. */
 public final class StateCodec {
@@ -24,6 +26,10 @@
   @JsonTypeInfo(use = JsonTypeInfo.Id.SIMPLE_NAME, property = "type")
   private interface Typed {}
 
+  /** Leaves out what is zero, false or empty, as most of a step is. */
+  @JsonInclude(JsonInclude.Include.NON_DEFAULT)
+  private interface Compact {}
+
   private static final List<Class<?>> SEALED_TYPES =
       List.of(Command.class, Result.class, JobCommand.class, Request.class, Reply.class);
   private static final ObjectMapper CBOR = configure(new ObjectMapper(new CBORFactory()));
@@ -64,6 +70,7 @@
       mapper.addMixIn(base, Typed.class);
       mapper.registerSubtypes(base.getPermittedSubclasses());
     }
+    mapper.addMixIn(StepSpec.class, Compact.class);
     return mapper;
   }
 
--- a/daemon/src/main/java/org/plantainknot/daemon/controller/PendingChanges.java
+++ b/daemon/src/main/java/org/plantainknot/daemon/controller/PendingChanges.java
@@ -54,6 +54,7 @@
   private final DecisionMetrics metrics;
   private final Map<Long, Change> changeByIndex = new HashMap<>();
   private final Map<JobCommand, Change> changeByCommand = new HashMap<>();
+  private long submittedHeapBytes;
 
   /**
    * Creates an empty collection.
@@ -72,20 +73,43 @@
    * <p>The request is dropped if the command can't be proposed; its sender retries it.
    */
   void add(Request request, JobCommand command, Consumer<Reply> answer) {
+    if (!join(command, answer)) {
+      propose(request, command, answer);
+    }
+  }
+
+  /** Joins the pending change with an equal command; returns whether there is one. */
+  boolean join(JobCommand command, Consumer<Reply> answer) {
     Change change = changeByCommand.get(command);
     if (change == null) {
-      long index = proposer.applyAsLong(command);
-      if (index < 0) {
-        return;
-      }
-      change = new Change(request, command);
-      changeByCommand.put(command, change);
-      endJoining(command);
-      changeByIndex.put(index, change);
-    } else {
-      metrics.countJoinedRequest();
+      return false;
     }
+    metrics.countJoinedRequest();
     change.answers.add(answer);
+    return true;
+  }
+
+  /** Proposes a command that no pending change has; dropped if that isn't possible now. */
+  void propose(Request request, JobCommand command, Consumer<Reply> answer) {
+    long index = proposer.applyAsLong(command);
+    if (index < 0) {
+      return;
+    }
+    Change change = new Change(request, command);
+    change.answers.add(answer);
+    changeByCommand.put(command, change);
+    endJoining(command);
+    changeByIndex.put(index, change);
+    submittedHeapBytes += heapBytes(command);
+  }
+
+  /** Returns an estimate of the heap that the pending submissions take. */
+  long submittedHeapBytes() {
+    return submittedHeapBytes;
+  }
+
+  private static long heapBytes(JobCommand command) {
+    return command instanceof JobCommand.Submit submit ? submit.spec().heapBytes() : 0;
   }
 
   /** A cancellation that arrives after a submission must follow it in the log. */
@@ -100,6 +124,7 @@
     Change change = changeByIndex.remove(index);
     if (change != null) {
       changeByCommand.remove(change.command, change);
+      submittedHeapBytes -= heapBytes(change.command);
     }
     return Optional.ofNullable(change);
   }
@@ -108,5 +133,6 @@
   void clear() {
     changeByIndex.clear();
     changeByCommand.clear();
+    submittedHeapBytes = 0;
   }
 }
--- a/daemon/src/main/java/org/plantainknot/daemon/controller/RequestProcessor.java
+++ b/daemon/src/main/java/org/plantainknot/daemon/controller/RequestProcessor.java
@@ -6,6 +6,7 @@
 import java.util.Deque;
 import java.util.List;
 import java.util.Optional;
+import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import java.util.function.ToLongFunction;
 import org.plantainknot.core.call.Reply;
@@ -16,6 +17,7 @@
 import org.plantainknot.core.job.Job;
 import org.plantainknot.core.job.JobCommand;
 import org.plantainknot.core.job.JobLedger;
+import org.plantainknot.core.job.JobSpec;
 import org.plantainknot.core.job.QueueConfig;
 import org.plantainknot.core.job.WaveProgress;
 import org.plantainknot.daemon.metrics.DecisionMetrics;
@@ -33,6 +35,15 @@
   private static final FluentLogger logger = FluentLogger.forEnclosingClass();
   private static final long RETRY_AFTER_MILLIS = 1_000;
 
+  /** Time in which enough of a full backlog may have ended for another submission. */
+  private static final long BACKLOG_RETRY_AFTER_MILLIS = 2_000;
+
+  /**
+   * Heap that open jobs may take. The log, the latest snapshot and the one being encoded take about
+   * as much each, and all of it has to fit into the heap of a controller.
+   */
+  private static final long MAX_OPEN_HEAP_BYTES = 16L << 20;
+
   /** Request that waits for a round; the task is run once the round is confirmed. */
   private record Read(long round, Runnable task) {}
 
@@ -115,8 +126,30 @@
       answer.accept(new Reply.Invalid("invalid job identifier: " + id));
       return;
     }
-    JobCommand command = new JobCommand.Submit(submit.draft().toSpec(id, queue.get().name()));
-    change(submit, command, answer);
+    JobSpec spec = submit.draft().toSpec(id, queue.get().name());
+    JobCommand command = new JobCommand.Submit(spec);
+    boolean known = SettledChanges.resultOf(command, ledger).isPresent();
+    if (known) {
+      change(submit, command, answer);
+    } else if (!pendingChanges.join(command, answer)) {
+      submitNew(submit, spec, answer);
+    }
+  }
+
+  /** Proposes a submission of which no copy is known; rejects it if the backlog is full. */
+  private void submitNew(Request.SubmitJob submit, JobSpec spec, Consumer<Reply> answer) {
+    if (hasRoomFor(spec)) {
+      pendingChanges.propose(submit, new JobCommand.Submit(spec), answer);
+      return;
+    }
+    logger.atInfo().atMostEvery(1, TimeUnit.SECONDS).log(
+        "backlog-full request=%s open-bytes=%d", describe(submit), ledger.openHeapBytes());
+    answer.accept(new Reply.Overloaded(BACKLOG_RETRY_AFTER_MILLIS));
+  }
+
+  private boolean hasRoomFor(JobSpec spec) {
+    long openHeapBytes = ledger.openHeapBytes() + pendingChanges.submittedHeapBytes();
+    return openHeapBytes + spec.heapBytes() <= MAX_OPEN_HEAP_BYTES;
   }
 
   private void cancel(Request.CancelJob cancel, Consumer<Reply> answer) {
--- a/daemon/src/test/java/org/plantainknot/daemon/controller/RequestProcessorTest.java
+++ b/daemon/src/test/java/org/plantainknot/daemon/controller/RequestProcessorTest.java
@@ -1,9 +1,11 @@
 package org.plantainknot.daemon.controller;
 
 import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertTrue;
 
 import com.codahale.metrics.MetricRegistry;
 import java.util.ArrayList;
+import java.util.Collections;
 import java.util.List;
 import org.plantainknot.core.call.JobDraft;
 import org.plantainknot.core.call.Reply;
@@ -19,6 +21,7 @@
 import org.plantainknot.core.job.Schedule;
 import org.plantainknot.core.job.ServiceConfig;
 import org.plantainknot.core.job.StepSpec;
+import org.plantainknot.daemon.control.StateCodec;
 import org.plantainknot.daemon.metrics.DecisionMetrics;
 import org.testng.annotations.BeforeMethod;
 import org.testng.annotations.Test;
@@ -27,6 +30,11 @@
 public class RequestProcessorTest {
 
   private static final long NOT_LEADER = -1;
+  private static final int LARGE_JOBS = 56;
+  private static final int LARGE_JOB_STEPS = 9_500;
+
+  /** A twelfth of the heap of a controller, which is 192 MB. */
+  private static final int MAX_BACKLOG_BYTES = 16 << 20;
 
   private final List<JobCommand> proposed = new ArrayList<>();
   private final List<Reply> replies = new ArrayList<>();
@@ -58,6 +66,57 @@
     assertEquals(replies, List.of(new Reply.Done(), new Reply.Done()));
   }
 
+  /** Guards against submissions at once that no controller's heap can hold. */
+  @Test
+  void submissionsBeyondTheBytesOfTheBacklogAreRejectedWithoutBeingProposed() {
+    for (int i = 0; i < LARGE_JOBS; i++) {
+      process(largeSubmission(i));
+    }
+    int accepted = proposed.size();
+    assertTrue(accepted > 0 && accepted < LARGE_JOBS, accepted + " proposed");
+    assertEquals(replies.size(), LARGE_JOBS - accepted);
+    assertTrue(replies.stream().allMatch(Reply.Overloaded.class::isInstance), replies.toString());
+    applyAll();
+    process(largeSubmission(LARGE_JOBS));
+    assertEquals(proposed.size(), accepted, "an accepted backlog counts like a pending one");
+    int bytes = proposed.stream().mapToInt(command -> StateCodec.write(command).length).sum();
+    assertTrue(bytes <= MAX_BACKLOG_BYTES, bytes + " bytes in the log");
+  }
+
+  @Test
+  void copiesOfAnAcceptedSubmissionAreAnsweredAlthoughTheBacklogIsFull() {
+    for (int i = 0; i < LARGE_JOBS; i++) {
+      process(largeSubmission(i));
+    }
+    replies.clear();
+    process(largeSubmission(0));
+    assertEquals(replies, List.of());
+    applyAll();
+    replies.clear();
+    process(largeSubmission(0));
+    confirmRound();
+    assertEquals(replies, List.of(new Reply.Done()));
+  }
+
+  @Test
+  void endedJobsMakeRoomInAFullBacklog() {
+    for (int i = 0; i < LARGE_JOBS; i++) {
+      process(largeSubmission(i));
+    }
+    applyAll();
+    int accepted = proposed.size();
+    process(new Request.CancelJob("h", "/q/1000"));
+    applyAll();
+    process(largeSubmission(LARGE_JOBS));
+    assertEquals(proposed.size(), accepted + 2);
+  }
+
+  private static Request largeSubmission(int number) {
+    List<StepSpec> steps = Collections.nCopies(LARGE_JOB_STEPS, StepSpec.builder().build());
+    return new Request.SubmitJob(
+        "h", "/q/" + (1_000 + number), new JobDraft("p", steps, Schedule.NOW));
+  }
+
   @Test
   void aConfigurationThatArrivesAgainWhilePendingIsProposedOnce() {
     process(new Request.PutConfig(config(7)));
