Process messages of the replicated log before requests that wait

Cause: the members' replies wait in the same queue as the requests. With 56 requests of 20 to 50 ms each before them, the leader sees no reply within the longest election timeout of 1.2 s, takes itself for cut off and steps down; its followers are well. The next leader gets the same requests again. The same holds for any backlog of the control thread of 1.2 s, such as check-ins, answers and submissions that reach a process that has just started, whose code is not compiled yet.

Change: messages of the replicated log, new links and completed syncs go before the tasks that wait, in their own order.

Evidence: ControlThreadTest.urgentTasksOvertakeTheOthersInTheirOrder failed with one queue (element 0 was 1000) and passes now.

--- a/daemon/src/main/java/org/plantainknot/daemon/control/ControlThread.java
+++ b/daemon/src/main/java/org/plantainknot/daemon/control/ControlThread.java
@@ -37,6 +37,7 @@
   private final ScheduledExecutorService executor =
       Executors.newSingleThreadScheduledExecutor(task -> new Thread(task, "control"));
 
+  private final Queue<Runnable> urgentTasks = new ConcurrentLinkedQueue<>();
   private final Queue<Runnable> tasks = new ConcurrentLinkedQueue<>();
   private final AtomicBoolean batchPosted = new AtomicBoolean();
   private final Runnable onBatchEnd;
@@ -58,6 +59,19 @@
   /** Runs a task on the control thread; ignored after {@link #shutdown}. */
   public void execute(Runnable task) {
     tasks.add(task);
+    postBatchUnlessPosted();
+  }
+
+  /**
+   * Runs a task before all waiting ones that are not urgent. Messages of the replicated log are
+   * urgent: a leader whose members' replies wait behind requests would step down.
+   */
+  public void executeUrgently(Runnable task) {
+    urgentTasks.add(task);
+    postBatchUnlessPosted();
+  }
+
+  private void postBatchUnlessPosted() {
     if (batchPosted.compareAndSet(false, true)) {
       postBatch();
     }
@@ -103,20 +117,25 @@
 
   private void runBatch() {
     long startNanos = System.nanoTime();
-    Runnable task = tasks.poll();
+    Runnable task = nextTask();
     for (int i = 1; task != null; i++) {
       task.run();
       boolean mayContinue = i < MAX_BATCH_TASKS && System.nanoTime() - startNanos < MAX_BATCH_NANOS;
-      task = mayContinue ? tasks.poll() : null;
+      task = mayContinue ? nextTask() : null;
     }
     onBatchEnd.run();
     batchPosted.set(false);
-    boolean tasksLeft = !tasks.isEmpty();
-    if (tasksLeft && batchPosted.compareAndSet(false, true)) {
-      postBatch();
+    boolean tasksLeft = !urgentTasks.isEmpty() || !tasks.isEmpty();
+    if (tasksLeft) {
+      postBatchUnlessPosted();
     }
   }
 
+  private Runnable nextTask() {
+    Runnable urgent = urgentTasks.poll();
+    return urgent != null ? urgent : tasks.poll();
+  }
+
   private static void runOrHalt(Runnable task) {
     long startNanos = System.nanoTime();
     try {
--- a/daemon/src/main/java/org/plantainknot/daemon/controller/ControllerNode.java
+++ b/daemon/src/main/java/org/plantainknot/daemon/controller/ControllerNode.java
@@ -189,7 +189,7 @@
 
   @Override
   public void onLinked(MemberId peer, String address) {
-    control.execute(
+    control.executeUrgently(
         () -> {
           if (!address.isEmpty()) {
             announcer.controllerSeen(peer.node(), address);
@@ -206,7 +206,11 @@
 
   @Override
   public void onFrame(MemberId sender, FrameProto frame) {
-    control.execute(() -> handleFrame(sender, frame));
+    switch (frame.getBodyCase()) {
+      case CALL, CALL_REPLY, DIRECTORY, WORKER_HEARTBEAT ->
+          control.execute(() -> handleFrame(sender, frame));
+      default -> control.executeUrgently(() -> handleFrame(sender, frame));
+    }
   }
 
   private void handleFrame(MemberId sender, FrameProto frame) {
@@ -313,7 +317,7 @@
   }
 
   private void onSynced(long token) {
-    control.execute(() -> driver.synced(token));
+    control.executeUrgently(() -> driver.synced(token));
   }
 
   private void send(Envelope envelope) {
--- a/daemon/src/test/java/org/plantainknot/daemon/control/ControlThreadTest.java
+++ b/daemon/src/test/java/org/plantainknot/daemon/control/ControlThreadTest.java
@@ -79,6 +79,24 @@
         "the timer paused for " + longestPauseMillis + " ms");
   }
 
+  /** Guards against a leader that steps down because its members' replies wait behind requests. */
+  @Test
+  void urgentTasksOvertakeTheOthersInTheirOrder() throws InterruptedException {
+    CountDownLatch released = new CountDownLatch(1);
+    CountDownLatch done = new CountDownLatch(2 * TASKS);
+    control.execute(() -> await(released));
+    IntStream.range(0, TASKS).forEach(i -> control.execute(() -> record(TASKS + i, done)));
+    IntStream.range(0, TASKS).forEach(i -> control.executeUrgently(() -> record(i, done)));
+    released.countDown();
+    assertTrue(done.await(TIMEOUT_SECONDS, TimeUnit.SECONDS), done.getCount() + " left");
+    assertEquals(ran, IntStream.range(0, 2 * TASKS).boxed().toList());
+  }
+
+  private void record(int number, CountDownLatch done) {
+    ran.add(number);
+    done.countDown();
+  }
+
   private static void runSlowly(CountDownLatch done) {
     try {
       Thread.sleep(SLOW_TASK_MILLIS);
