Review case 11: a refused move takes runners out of use, accepted work never runs (LOST)

Claim: runners whose machines the platform refuses to move, with 400, get no work for the leader's term; submissions accepted for their pool never run, on six idle runners.

At fault: Maintainer.orderAnswered settles an impossible order as carried out, and onTakenDown ends the runner's life.

--- a/review/standin-3/LateStartCase.java
+++ b/review/standin-3/LateStartCase.java
@@ -16,6 +16,11 @@
 
   private static final long LATE_MILLIS = 10_000;
 
+  /** Ages of a call to hold at which the submission is handed in, and at which the runner crashes. */
+  private static final long SUBMIT_AGE_MILLIS = 300;
+
+  private static final long CRASH_AGE_MILLIS = 900;
+
   private record Order(Runner runner, Map<String, Object> body, long atMillis) {}
 
   private final AtomicReference<Order> late = new AtomicReference<>();
@@ -45,6 +50,8 @@
     }
     Http.sleep(3_500);
     withholds = trouble;
+    Runner likeliest = platform.machines().get(0).runner;
+    awaitHoldAge(likeliest, SUBMIT_AGE_MILLIS);
     Map<String, Object> step =
         Json.map("count", 1, "cpu", 1_000, "mem_mb", 256, "estimate_ms", 12_000);
     Map<String, Object> submission = Json.map("spec", "work=12000", "steps", List.of(step));
@@ -63,7 +70,7 @@
     if (order == null) {
       return NOT_RUN;
     }
-    Http.sleep(200);
+    awaitHoldAge(order.runner(), CRASH_AGE_MILLIS);
     Platform.Machine machine =
         platform.machines().stream()
             .filter(m -> m.runner == order.runner())
@@ -80,4 +87,17 @@
     Http.sleep(6_000);
     return isAnyTwice() ? BROKEN : HELD;
   }
+
+  private static void awaitHoldAge(Runner runner, long ageMillis) {
+    long deadline = Trace.now() + 2_000;
+    long previous = runner.holdAgeMillis();
+    while (Trace.now() < deadline) {
+      long age = runner.holdAgeMillis();
+      if (age >= ageMillis && (previous < ageMillis || age < ageMillis + 50)) {
+        return;
+      }
+      previous = age;
+      Http.sleep(5);
+    }
+  }
 }
--- a/review/standin-3/Platform.java
+++ b/review/standin-3/Platform.java
@@ -41,6 +41,7 @@
   private final Map<String, Machine> machines = new LinkedHashMap<>();
   private final HttpServer server;
   private List<String> controlAddresses = List.of();
+  private volatile boolean fixedPools;
 
   /** Called with the machine and the word of the order just before an order ends its work. */
   private BiConsumer<Machine, String> onOrder = (machine, order) -> {};
@@ -54,6 +55,11 @@
     controlAddresses = addresses;
   }
 
+  /** Makes all pools those of other machines, so that each move is answered with 400. */
+  void setFixedPools(boolean fixed) {
+    fixedPools = fixed;
+  }
+
   void setOnOrder(BiConsumer<Machine, String> listener) {
     onOrder = listener;
   }
@@ -141,6 +147,9 @@
       if (upkeep ? machine.wave == wave : machine.pool.equals(pool)) {
         return "";
       }
+      if (!upkeep && fixedPools) {
+        return "none";
+      }
       if (!machine.state.equals("up")) {
         return "busy";
       }
--- a/review/standin-3/Runner.java
+++ b/review/standin-3/Runner.java
@@ -91,6 +91,7 @@
   private long sequence;
   private volatile boolean gone;
   private volatile StartPolicy startPolicy;
+  private volatile long holdAtMillis;
 
   Runner(
       String id,
@@ -147,6 +148,11 @@
     trace.log("runner %s of %s has ended: %s", id, machine, why);
   }
 
+  /** Returns how long ago the latest call to hold arrived, which may still wait. */
+  long holdAgeMillis() {
+    return Trace.now() - holdAtMillis;
+  }
+
   boolean isGone() {
     return gone;
   }
@@ -334,6 +340,7 @@
       return "fence";
     }
     extend(order);
+    holdAtMillis = Trace.now();
     lastSeen = Math.max(lastSeen, Json.number(order, "last_seen", 0));
     ended.removeIf(end -> (Long) end.get(0) <= lastSeen);
     long deadline = Trace.now() + Json.number(order, "wait_ms", 0);
