--- a/review/15/run.sh
+++ b/review/15/run.sh
@@ -3,4 +3,4 @@
 # disruption out. review/build-3.sh has to run first.
 cd "$(dirname "$0")/../.." || exit 2
 [ -d review/target/review-3 ] || exit 2
-exec java -cp review/target/review-3 WaitingCase review/15
+exec java -cp review/target/review-3 UpkeepCase review/15
