Review cases 11 to 15: stand-ins inside case 11, doses inside the limits

The stand-ins move to review/11/standin and are built into target/review-3, so that review/ holds cases only.

--- a/review/standin-3/CancelledCase.java
+++ b/review/11/standin/CancelledCase.java
@@ -15,7 +15,7 @@
   private static final long CANCEL_MILLIS = 3_000;
 
   public static void main(String[] args) throws Exception {
-    play(args[0], new CancelledCase(), 3, 2);
+    play(args[0], new CancelledCase(), 5, 6);
   }
 
   @Override
--- a/review/15/run.sh
+++ b/review/15/run.sh
@@ -3,5 +3,5 @@
 # disruption out. review/build-3.sh has to run first.
 cd "$(dirname "$0")/../.." || exit 2
 command -v java >/dev/null || exit 2
-[ -f review/target/review-3/UpkeepCase.class ] || exit 2
-exec java -cp review/target/review-3 UpkeepCase review/15
+[ -f target/review-3/UpkeepCase.class ] || exit 2
+exec java -cp target/review-3 UpkeepCase review/15
