Let refused orders for machines prove nothing of their workers

The platform had refused moves of these workers' machines to a pool of other machines (400).

Cause: Maintainer settled an impossible order as carried out, which marked the incarnation of the machine's worker as ended. An ended incarnation is neither called nor given work for the rest of the leader's term.

Change, one answer for every outcome of an order: a refused call did nothing and proves nothing of the machine, its worker or its upkeep. A refused move is dropped and not repeated for a minute; after two machines of a donor pool were refused, its others are neither asked for nor drained. A refused upkeep is ordered again after 2 s, and counts as begun only once the platform's list lacks the machine. An accepted order may have been carried out before, so it takes the worker out of use only until a later heartbeat and an answer after it.

--- a/core/src/main/java/org/plantainknot/core/schedule/Dispatcher.java
+++ b/core/src/main/java/org/plantainknot/core/schedule/Dispatcher.java
@@ -109,6 +109,7 @@
     WorkerSession session = session(worker.life());
     return worker.phase() == WorkerPhase.READY
         && !session.hasEnded()
+        && !session.isDoubted()
         && !session.isBlocked(nowMillis)
         && !sessions.mayDiscardEnds(session, nowMillis)
         && sessions.isFresh(session, nowMillis);
@@ -218,9 +219,18 @@
     }
   }
 
-  /** Marks an incarnation as ended because its machine was shut down. */
-  void incarnationEnded(WorkerIncarnation incarnation) {
-    session(incarnation).markEnded();
+  /**
+   * Takes an incarnation out of use because its machine was taken down. It is called again only
+   * after a further heartbeat of it, and in use again once it answers.
+   */
+  void machineTakenDown(WorkerIncarnation incarnation, long nowMillis) {
+    long lastSequence =
+        directory
+            .find(incarnation.worker())
+            .filter(worker -> worker.life().equals(incarnation))
+            .map(WorkerHeartbeat::sequence)
+            .orElse(Long.MIN_VALUE);
+    session(incarnation).doubt(lastSequence, nowMillis);
   }
 
   /** Stops a run; its task becomes free when the end is committed. */
@@ -250,7 +260,8 @@
 
   private void renewIfDue(WorkerHeartbeat worker, long nowMillis) {
     WorkerSession session = session(worker.life());
-    if (session.hasEnded() || !session.isRenewDue(nowMillis)) {
+    boolean mayAnswer = !session.hasEnded() && session.mayAnswerAfter(worker.sequence());
+    if (!mayAnswer || !session.isRenewDue(nowMillis)) {
       return;
     }
     boolean waitsForCommit =
@@ -259,6 +270,7 @@
     if (waitsForCommit) {
       return;
     }
+    session.calledAfter(worker.sequence());
     actionQueue.renew(worker, session, nowMillis);
   }
 
--- a/core/src/main/java/org/plantainknot/core/schedule/MachineOutcome.java
+++ b/core/src/main/java/org/plantainknot/core/schedule/MachineOutcome.java
@@ -6,7 +6,10 @@
   ACCEPTED,
   /** The machine is not up, or its worker is leaving. */
   BUSY,
-  /** The order can never be carried out. */
+  /**
+   * The platform refuses the order, which this call has not carried out: it knows no such machine,
+   * the pool is one of other machines, or the machine isn't one of the wave.
+   */
   IMPOSSIBLE,
   /** A leader of a later term has sent an order for this machine. */
   FENCED,
--- a/core/src/main/java/org/plantainknot/core/schedule/Maintainer.java
+++ b/core/src/main/java/org/plantainknot/core/schedule/Maintainer.java
@@ -31,6 +31,9 @@
   /** Time within which an order is answered or has failed. */
   private static final long ORDER_ANSWER_MILLIS = 3_000;
 
+  /** Pause before an upkeep that the platform refused is ordered again. */
+  private static final long REFUSED_RETRY_MILLIS = 2_000;
+
   /** Time within which a machine's new worker sends a heartbeat after the maintenance. */
   private static final long RETURN_MILLIS = 1_000;
 
@@ -46,6 +49,7 @@
   private final PoolBalancer balancer;
   private final Map<String, Long> downSinceMillis = new HashMap<>();
   private final Map<String, Long> nextSendMillis = new HashMap<>();
+  private final Map<String, Long> refusedUntilMillis = new HashMap<>();
   private final Map<String, WorkerIncarnation> incarnationByMachine = new HashMap<>();
   private final Map<String, WorkerIncarnation> incarnationBeforeOrder = new HashMap<>();
   private final Set<String> draining = new HashSet<>();
@@ -108,14 +112,15 @@
   }
 
   /**
-   * Ends the worker incarnation that ran on the machine when the order was first sent, and with it
-   * all of its runs. An order that an earlier leader sent may have been carried out long ago, so
-   * the worker seen now can be a later incarnation, which must be kept.
+   * Takes the worker incarnation that ran on the machine when the order was first sent out of use,
+   * until it proves to be alive: the platform also accepts an order that was carried out before. An
+   * order that an earlier leader sent may have been carried out long ago, so the worker seen now
+   * can be a later incarnation, which must be kept.
    */
   private void onTakenDown(MachineOrder order, long nowMillis) {
     WorkerIncarnation ordered = incarnationBeforeOrder.remove(order.machine());
     if (ordered != null) {
-      dispatcher.incarnationEnded(ordered);
+      dispatcher.machineTakenDown(ordered, nowMillis);
     }
     if (!order.isMove()) {
       downSinceMillis.put(order.machine(), nowMillis);
@@ -128,7 +133,8 @@
       return;
     }
     switch (outcome) {
-      case ACCEPTED, IMPOSSIBLE -> settle(order, true);
+      case ACCEPTED -> settle(order, true);
+      case IMPOSSIBLE -> onRefused(order, nowMillis);
       case BUSY -> {
         settle(order, false);
         incarnationBeforeOrder.remove(order.machine());
@@ -140,11 +146,28 @@
     }
   }
 
+  /**
+   * Drops an order that the platform refuses. The refusal proves nothing of the machine or its
+   * worker. Only the platform's list shows that a machine is gone, and with it its upkeep.
+   */
+  private void onRefused(MachineOrder order, long nowMillis) {
+    String machine = order.machine();
+    incarnationBeforeOrder.remove(machine);
+    boolean gone = machines.isKnown() && machines.find(machine) == null;
+    settle(order, !order.isMove() && gone);
+    if (order.isMove()) {
+      balancer.moveRefused(order, nowMillis);
+    } else {
+      refusedUntilMillis.put(machine, nowMillis + REFUSED_RETRY_MILLIS);
+    }
+  }
+
   /** Advances maintenance waves, moves machines between pools and repeats unanswered orders. */
   public void tick(long nowMillis) {
     downSinceMillis
         .entrySet()
         .removeIf(e -> nowMillis - e.getValue() >= timing.maintenanceMillis() + RETURN_MILLIS);
+    refusedUntilMillis.values().removeIf(untilMillis -> nowMillis >= untilMillis);
     Set<String> reserved = new HashSet<>();
     for (WaveProgress wave : ledger.waves()) {
       if (!wave.isCompleted()) {
@@ -234,6 +257,7 @@
       boolean eligible =
           !draining.contains(name)
               && !downSinceMillis.containsKey(name)
+              && !refusedUntilMillis.containsKey(name)
               && orderWait.isOver(name, nowMillis);
       if (allowed > 0 && eligible) {
         allowed--;
--- a/core/src/main/java/org/plantainknot/core/schedule/Planner.java
+++ b/core/src/main/java/org/plantainknot/core/schedule/Planner.java
@@ -1,6 +1,7 @@
 package org.plantainknot.core.schedule;
 
 import java.util.ArrayList;
+import java.util.Collections;
 import java.util.Comparator;
 import java.util.HashMap;
 import java.util.HashSet;
@@ -57,6 +58,11 @@
     reservedWorkers.addAll(workers);
   }
 
+  /** Returns the workers that get no new work. */
+  Set<String> reserved() {
+    return Collections.unmodifiableSet(reservedWorkers);
+  }
+
   /**
    * Removes the proposals for assignments whose command was applied, whether or not they took
    * effect.
--- a/core/src/main/java/org/plantainknot/core/schedule/PoolBalancer.java
+++ b/core/src/main/java/org/plantainknot/core/schedule/PoolBalancer.java
@@ -47,6 +47,7 @@
   private final MachineTable machines;
   private final OpenMachineOrders openOrders;
   private final ArrivingMachines arrivingMachines;
+  private final RefusedMoves refusedMoves = new RefusedMoves();
   private final Map<String, Long> idleSinceMillis = new HashMap<>();
   private final Set<String> claimedWorkers = new HashSet<>();
   private final Set<String> claimedMachines = new HashSet<>();
@@ -97,6 +98,24 @@
     }
   }
 
+  /** Handles that the platform refused a move, as one to a pool of other machines. */
+  void moveRefused(MachineOrder order, long nowMillis) {
+    refusedMoves.refused(order.machine(), poolOf(order.machine()), order.pool(), nowMillis);
+  }
+
+  /** Returns the pool of a machine: as listed if it is switched off, else that of its worker. */
+  private String poolOf(String name) {
+    Machine listed = machines.find(name);
+    if (listed != null && sparePools().contains(listed.pool())) {
+      return listed.pool();
+    }
+    return directory.all().stream()
+        .filter(worker -> worker.machine().equals(name))
+        .map(WorkerHeartbeat::service)
+        .findFirst()
+        .orElse(listed == null ? "" : listed.pool());
+  }
+
   /** Returns whether a current list of machines is needed to decide on moves. */
   boolean needsMachines() {
     return !planner.shortages().isEmpty() || !machines.isKnown();
@@ -114,6 +133,7 @@
     }
     lastTickMillis = nowMillis;
     arrivingMachines.removeArrived(worker -> dispatcher.isUsable(worker, nowMillis), nowMillis);
+    refusedMoves.removeExpired(nowMillis);
     claimedWorkers.clear();
     claimedMachines.clear();
     countRemainingWorkers();
@@ -128,14 +148,16 @@
     for (String pool : poolsByNeed(shortages, Shortage::urgentMilliCores)) {
       Predicate<String> donors = donor -> !isUrgent(donor, shortages);
       long needed = shortages.get(pool).urgentMilliCores();
-      double missingMilliCores = moveMachinesTo(pool, needed, fromDonors(idle, donors));
-      drain(missingMilliCores, fromDonors(drainable, donors));
+      double missingMilliCores = moveMachinesTo(pool, needed, fromDonors(idle, donors, pool));
+      drain(missingMilliCores, fromDonors(drainable, donors, pool));
     }
     Predicate<String> unneeded = donor -> !shortages.containsKey(donor);
     for (String pool : poolsByNeed(shortages, Shortage::lateMilliCores)) {
-      moveMachinesTo(pool, shortages.get(pool).milliCores(), fromDonors(idle, unneeded));
+      moveMachinesTo(pool, shortages.get(pool).milliCores(), fromDonors(idle, unneeded, pool));
     }
-    returnToSparePool(fromDonors(idle, unneeded), nowMillis);
+    sparePools().stream()
+        .findFirst()
+        .ifPresent(spare -> returnTo(spare, fromDonors(idle, unneeded, spare), nowMillis));
   }
 
   private static boolean isUrgent(String pool, Map<String, Shortage> shortages) {
@@ -153,10 +175,12 @@
         .toList();
   }
 
-  private static List<MovableMachine> fromDonors(
-      List<MovableMachine> machines, Predicate<String> donors) {
+  /** Returns the machines that may be moved to a pool, from a spare pool or one that donates. */
+  private List<MovableMachine> fromDonors(
+      List<MovableMachine> machines, Predicate<String> donors, String pool) {
     return machines.stream()
         .filter(machine -> machine.spare() || donors.test(machine.pool()))
+        .filter(machine -> !refusedMoves.isHopeless(machine.machine(), machine.pool(), pool))
         .collect(Collectors.toCollection(ArrayList::new));
   }
 
@@ -273,11 +297,7 @@
     return arrivingMachines.countTo(pool) + openOrders.countTo(pool);
   }
 
-  private void returnToSparePool(List<MovableMachine> idle, long nowMillis) {
-    String spare = sparePools().stream().findFirst().orElse(null);
-    if (spare == null) {
-      return;
-    }
+  private void returnTo(String spare, List<MovableMachine> idle, long nowMillis) {
     List<MovableMachine> overdue =
         idle.stream()
             .filter(machine -> !machine.spare())
--- a/core/src/main/java/org/plantainknot/core/schedule/WorkerSession.java
+++ b/core/src/main/java/org/plantainknot/core/schedule/WorkerSession.java
@@ -36,6 +36,9 @@
   private boolean restarted;
   private boolean failed;
   private boolean listenerGone;
+  private boolean doubted;
+  private long doubtedAtMillis;
+  private long doubtedSequence;
   private long restartedAtMillis;
   private long blockedUntilMillis;
   private Map<RunId, ListedRun> running = Map.of();
@@ -81,6 +84,7 @@
     reported = true;
     failed = false;
     listenerGone = false;
+    doubted &= requestedAtMillis <= doubtedAtMillis;
     reportRequestedAtMillis = requestedAtMillis;
     clockMillis = report.clockMillis();
     clockAtMillis = nowMillis;
@@ -211,6 +215,33 @@
     incarnationEnded = true;
   }
 
+  /**
+   * Notes that the incarnation has probably ended, which it disproves by a heartbeat and then an
+   * answer to a later call.
+   *
+   * @param lastSequence number of its latest heartbeat
+   */
+  void doubt(long lastSequence, long nowMillis) {
+    doubted = true;
+    doubtedAtMillis = nowMillis;
+    doubtedSequence = lastSequence;
+  }
+
+  /** Returns whether the incarnation has probably ended. */
+  boolean isDoubted() {
+    return doubted;
+  }
+
+  /** Returns whether a call may be answered, given the number of the latest heartbeat. */
+  boolean mayAnswerAfter(long sequence) {
+    return !doubted || sequence > doubtedSequence;
+  }
+
+  /** Records a call after a heartbeat, which disproves the doubt only if the call is answered. */
+  void calledAfter(long sequence) {
+    doubtedSequence = sequence;
+  }
+
   /** Checks the clock in an answer; a clock that went backwards reveals a later incarnation. */
   void updateClock(long answeredMillis, long nowMillis) {
     if (answeredMillis > 0 && answeredMillis + MAX_REORDERING_MILLIS < clockMillis) {
--- a/core/src/main/java/org/plantainknot/core/schedule/WorkerSessions.java
+++ b/core/src/main/java/org/plantainknot/core/schedule/WorkerSessions.java
@@ -74,7 +74,10 @@
 
   /** Returns whether the worker has answered recently and its latest renewal has not failed. */
   boolean isAnswering(WorkerSession session, long nowMillis) {
-    return isFresh(session, nowMillis) && !session.hasEnded() && !session.hasFailed();
+    return isFresh(session, nowMillis)
+        && !session.hasEnded()
+        && !session.isDoubted()
+        && !session.hasFailed();
   }
 
   Optional<WorkerTarget> targetOf(WorkerIncarnation incarnation) {
