Keep cancellations of unknown jobs until their submissions can't come any more

Cause: JobLedger.cancel kept nothing of an unknown job, so the order of arrival decided; a gateway counts the caller's time from its own reading.

Change, one answer for all calls that were given up or cancelled elsewhere: a copy may do whatever it asks for, by whatever way it comes, unless the log holds an answered cancellation of it. What can't be a job's identifier gets 410 without an entry.

Related paths: copies in LeaderClient, on links and in a former leader's queue are ordered by the log, as is a caller that gives up and comes back with its identifier, which must be taken; a pending submission before a cancellation in the log (RequestProcessorTest, unchanged); configurations, waves, check-ins and departures carry an order of their own. Not covered: a gateway that stands still for more than 5 minutes.

Weighed: refusing the late submission with 503. Its sender would send it again, and a copy after the five minutes would run; and a cancellation before and after the submission would differ for the caller. Dropping calls that a gateway read after a pause: it can't know when they were sent.

--- a/core/src/main/java/org/plantainknot/core/job/JobCommand.java
+++ b/core/src/main/java/org/plantainknot/core/job/JobCommand.java
@@ -20,7 +20,8 @@
   record Submit(JobSpec spec) implements JobCommand {}
 
   /**
-   * Cancels a job.
+   * Cancels a job, or the later submission of a job that is unknown. Refused if too many unknown
+   * ones were cancelled lately.
    *
    * @param job identifier of the job
    */
--- a/core/src/main/java/org/plantainknot/core/job/JobLedger.java
+++ b/core/src/main/java/org/plantainknot/core/job/JobLedger.java
@@ -49,6 +49,7 @@
    * @param waves all waves
    * @param orders pending machine orders
    * @param orderTimes times of the latest orders for machines, or null if they are unknown
+   * @param earlyCancels cancellations of jobs that are unknown so far, or null if none are kept
    */
   public record Image(
       long clockMillis,
@@ -57,7 +58,8 @@
       List<LastEnd> lastEnds,
       List<WaveProgress.Image> waves,
       List<MachineOrder> orders,
-      List<OrderTime> orderTimes) {}
+      List<OrderTime> orderTimes,
+      List<EarlyCancel> earlyCancels) {}
 
   /**
    * Sequence number of the last recorded end of a worker incarnation.
@@ -74,6 +76,7 @@
   private final Map<Long, WaveProgress> waves = new TreeMap<>();
   private final Map<String, MachineOrder> orders = new TreeMap<>();
   private final OrderLog orderLog = new OrderLog();
+  private final EarlyCancels earlyCancels = new EarlyCancels();
   private FleetConfig config = FleetConfig.NONE;
   private QueueTable queues = new QueueTable(FleetConfig.NONE);
   private long clockMillis;
@@ -208,7 +211,8 @@
         lastEnds.entrySet().stream().map(e -> new LastEnd(e.getKey(), e.getValue())).toList(),
         waves.values().stream().map(WaveProgress::image).toList(),
         List.copyOf(orders.values()),
-        orderLog.image(clockMillis));
+        orderLog.image(clockMillis),
+        earlyCancels.image());
   }
 
   /** Replaces the state with that of a snapshot. */
@@ -228,6 +232,7 @@
     image.waves().forEach(wave -> waves.put(wave.wave().number(), WaveProgress.restore(wave)));
     image.orders().forEach(order -> orders.put(order.machine(), order));
     orderLog.restore(image.orderTimes(), image.clockMillis());
+    earlyCancels.restore(image.earlyCancels());
   }
 
   private void add(Job job) {
@@ -258,7 +263,11 @@
       return Applied.UNKNOWN;
     }
     removeExpiredJobs();
-    add(new Job(spec, queue.get().service(), clockMillis));
+    Job job = new Job(spec, queue.get().service(), clockMillis);
+    add(job);
+    if (earlyCancels.remove(spec.id(), clockMillis)) {
+      endJob(job, JobStatus.CANCELLED);
+    }
     return Applied.CHANGED;
   }
 
@@ -269,10 +278,14 @@
     }
   }
 
+  /**
+   * Cancels a job. An unknown one stays cancelled too if its submission arrives later: its caller
+   * is told that it doesn't exist, and so doesn't expect it to run.
+   */
   private Applied cancel(String id) {
     Job job = jobs.get(id);
     if (job == null) {
-      return Applied.UNKNOWN;
+      return earlyCancels.record(id, clockMillis) ? Applied.UNKNOWN : Applied.REFUSED;
     }
     if (job.status().isEnded()) {
       return Applied.UNCHANGED;
--- a/core/src/test/java/org/plantainknot/core/schedule/MachineOrderTimesTest.java
+++ b/core/src/test/java/org/plantainknot/core/schedule/MachineOrderTimesTest.java
@@ -88,7 +88,8 @@
         image.lastEnds(),
         image.waves(),
         image.orders(),
-        null);
+        null,
+        image.earlyCancels());
   }
 
   private static JobCommand order(String machine) {
--- a/core/src/test/java/org/plantainknot/core/schedule/MaintainerTest.java
+++ b/core/src/test/java/org/plantainknot/core/schedule/MaintainerTest.java
@@ -89,7 +89,8 @@
             image.lastEnds(),
             image.waves(),
             image.orders(),
-            null));
+            null,
+            image.earlyCancels()));
     orderTimes.restored(ledger, nowMillis, nowMillis);
   }
 
--- a/daemon/src/main/java/org/plantainknot/daemon/controller/RequestProcessor.java
+++ b/daemon/src/main/java/org/plantainknot/daemon/controller/RequestProcessor.java
@@ -159,6 +159,10 @@
       return;
     }
     String id = cancel.path().substring(queue.get().pathPrefix().length());
+    if (!isJobId(id)) {
+      answer.accept(new Reply.NoSuchJob());
+      return;
+    }
     change(cancel, new JobCommand.Cancel(id), answer);
   }
 
@@ -207,7 +211,9 @@
           : new Reply.NotFound("no such queue");
     }
     if (result == Applied.REFUSED) {
-      return new Reply.Invalid("another wave has this number");
+      return request instanceof Request.CancelJob
+          ? new Reply.Overloaded(BACKLOG_RETRY_AFTER_MILLIS)
+          : new Reply.Invalid("another wave has this number");
     }
     return new Reply.Done();
   }
--- a/daemon/src/test/java/org/plantainknot/daemon/controller/SettledChangesTest.java
+++ b/daemon/src/test/java/org/plantainknot/daemon/controller/SettledChangesTest.java
@@ -69,7 +69,8 @@
         image.lastEnds(),
         image.waves(),
         image.orders(),
-        image.orderTimes());
+        image.orderTimes(),
+        image.earlyCancels());
   }
 
   private static JobSpec spec(String id, String queue) {
