Tests: cancellations of no identifier, without room, and before their submission

RequestProcessorTest covers the branches of the request processor that came with early cancellations; they were tested in the ledger only. Written after the code and not seen failing before it.

--- a/daemon/src/test/java/org/plantainknot/daemon/controller/RequestProcessorTest.java
+++ b/daemon/src/test/java/org/plantainknot/daemon/controller/RequestProcessorTest.java
@@ -128,6 +128,33 @@
     assertEquals(replies.size(), 3);
   }
 
+  /** Guards against entries of any length in the log and the ledger for what can't be a job. */
+  @Test
+  void aCancellationOfWhatIsNoIdentifierIsAnsweredWithoutALogEntry() {
+    process(new Request.CancelJob("h", "/q/"));
+    process(new Request.CancelJob("h", "/q/no-identifier"));
+    process(new Request.CancelJob("h", "/q/" + "a".repeat(65)));
+    assertEquals(proposed.size(), 0);
+    assertEquals(replies, Collections.nCopies(3, new Reply.NoSuchJob()));
+  }
+
+  @Test
+  void aSubmissionThatArrivesAfterItsCancellationIsAnsweredAndCancelled() {
+    process(new Request.CancelJob("h", "/q/ab"));
+    applyAll();
+    process(submit("ab", "p"));
+    applyAll();
+    assertEquals(replies, List.of(new Reply.NoSuchJob(), new Reply.Done()));
+    assertEquals(ledger.job("ab").orElseThrow().status(), JobStatus.CANCELLED);
+  }
+
+  @Test
+  void aCancellationThatCannotBeKeptIsRejected() {
+    process(new Request.CancelJob("h", "/q/ab"));
+    processor.applied(1, Applied.REFUSED);
+    assertTrue(replies.get(0) instanceof Reply.Overloaded, replies.toString());
+  }
+
   @Test
   void aCancellationOfAnUnknownJobThatArrivesAgainWhilePendingGetsTheSameReply() {
     process(new Request.CancelJob("h", "/q/ab"));
