Tests: one fixture for heartbeats and proposed orders of machines

RefusedOrderTest, UnheardWorkerTest and MaintainerTest each had the loop that picks the proposed orders, and two built the same heartbeat; both are in LeaderFixture now. No check changed.

--- a/core/src/test/java/org/plantainknot/core/schedule/LeaderFixture.java
+++ b/core/src/test/java/org/plantainknot/core/schedule/LeaderFixture.java
@@ -60,23 +60,25 @@
   }
 
   void addWorker(String name, String service) {
-    WorkerIncarnation incarnation = new WorkerIncarnation(name, 1);
-    directory.recordHeartbeat(
-        new WorkerHeartbeat(
-            incarnation,
-            1,
-            service,
-            name + ":1",
-            "dc",
-            WorkerPhase.READY,
-            0,
-            MACHINE,
-            List.of("a", "r1"),
-            "m-" + name),
-        nowMillis);
+    directory.recordHeartbeat(heartbeat(name, service, 1), nowMillis);
     reportFromAllWorkers();
   }
 
+  /** Returns a heartbeat of the worker of the machine that has its name with a prefix. */
+  static WorkerHeartbeat heartbeat(String name, String service, long sequence) {
+    return new WorkerHeartbeat(
+        new WorkerIncarnation(name, 1),
+        sequence,
+        service,
+        name + ":1",
+        "dc",
+        WorkerPhase.READY,
+        0,
+        MACHINE,
+        List.of("a", "r1"),
+        "m-" + name);
+  }
+
   /** Makes each worker answer a renewal now with an empty report. */
   void reportFromAllWorkers() {
     for (WorkerHeartbeat worker : directory.all()) {
@@ -110,8 +112,13 @@
 
   /** Returns the machine orders that were proposed since the last call. */
   List<MachineOrder> orders() {
+    return ordersIn(dispatcher.drain());
+  }
+
+  /** Returns the machine orders that a leader proposes. */
+  static List<MachineOrder> ordersIn(List<Action> actions) {
     List<MachineOrder> orders = new ArrayList<>();
-    for (Action action : dispatcher.drain()) {
+    for (Action action : actions) {
       if (action instanceof Action.Propose propose
           && propose.command() instanceof JobCommand.OrderMachine order) {
         orders.add(order.order());
--- a/core/src/test/java/org/plantainknot/core/schedule/MaintainerTest.java
+++ b/core/src/test/java/org/plantainknot/core/schedule/MaintainerTest.java
@@ -148,7 +148,8 @@
     assertEquals(
         uncommitted, List.of(new Assignment(new RunId(new TaskId("k", 0, 0, 0), 1), empty)));
     startWave(1, "m2");
-    assertEquals(ordered(tick()), List.of(), "the task starts before the order is committed");
+    assertEquals(
+        LeaderFixture.ordersIn(tick()), List.of(), "the task starts before the order is committed");
   }
 
   @Test
@@ -188,9 +189,9 @@
   void nothingIsOrderedWhileAnEarlierLeaderMayStillSendOrders() {
     startWave(2, "m9");
     nowMillis = TIMING.leaderWaitMillis() - 1;
-    assertTrue(ordered(tick()).isEmpty());
+    assertTrue(LeaderFixture.ordersIn(tick()).isEmpty());
     nowMillis = AFTER_LEADER_WAIT_MILLIS;
-    assertEquals(ordered(tick()), List.of(new MachineOrder("m9", 1, "")));
+    assertEquals(LeaderFixture.ordersIn(tick()), List.of(new MachineOrder("m9", 1, "")));
   }
 
   @Test
@@ -201,11 +202,11 @@
     apply(new JobCommand.OrderMachine(move));
     apply(new JobCommand.SettleMachine(move, true));
     elect(2);
-    assertEquals(ordered(tick()), List.of(new MachineOrder("m9", 1, "")));
+    assertEquals(LeaderFixture.ordersIn(tick()), List.of(new MachineOrder("m9", 1, "")));
     nowMillis += TIMING.leaderWaitMillis() - 1;
-    assertFalse(ordered(tick()).contains(new MachineOrder("m8", 1, "")));
+    assertFalse(LeaderFixture.ordersIn(tick()).contains(new MachineOrder("m8", 1, "")));
     nowMillis += 1;
-    assertTrue(ordered(tick()).contains(new MachineOrder("m8", 1, "")));
+    assertTrue(LeaderFixture.ordersIn(tick()).contains(new MachineOrder("m8", 1, "")));
   }
 
   @Test
@@ -226,22 +227,22 @@
     nowMillis = 60_000;
     restoreSnapshotWithoutOrderTimes();
     elect(2);
-    assertTrue(ordered(tick()).isEmpty());
+    assertTrue(LeaderFixture.ordersIn(tick()).isEmpty());
     nowMillis += TIMING.leaderWaitMillis();
-    assertFalse(ordered(tick()).isEmpty());
+    assertFalse(LeaderFixture.ordersIn(tick()).isEmpty());
   }
 
   @Test
   void aMachineCountsAsDownUntilItsMaintenanceAndReturnTimesHavePassed() {
     startWave(1, "m8", "m9");
     nowMillis = AFTER_LEADER_WAIT_MILLIS;
-    MachineOrder first = ordered(tick()).get(0);
+    MachineOrder first = LeaderFixture.ordersIn(tick()).get(0);
     apply(new JobCommand.OrderMachine(first));
     apply(new JobCommand.SettleMachine(first, true));
     nowMillis += TIMING.maintenanceMillis();
-    assertTrue(ordered(tick()).isEmpty());
+    assertTrue(LeaderFixture.ordersIn(tick()).isEmpty());
     nowMillis += 1_100;
-    assertFalse(ordered(tick()).isEmpty());
+    assertFalse(LeaderFixture.ordersIn(tick()).isEmpty());
   }
 
   @Test
@@ -287,17 +288,6 @@
     return stopped;
   }
 
-  private static List<MachineOrder> ordered(List<Action> actions) {
-    List<MachineOrder> ordered = new ArrayList<>();
-    for (Action action : actions) {
-      if (action instanceof Action.Propose propose
-          && propose.command() instanceof JobCommand.OrderMachine order) {
-        ordered.add(order.order());
-      }
-    }
-    return ordered;
-  }
-
   private void reportFrom(String worker) {
     WorkerIncarnation incarnation = incarnation(worker);
     Task task = ledger.task(runByIncarnation.get(incarnation).task());
--- a/core/src/test/java/org/plantainknot/core/schedule/RefusedOrderTest.java
+++ b/core/src/test/java/org/plantainknot/core/schedule/RefusedOrderTest.java
@@ -122,7 +122,7 @@
     leader.nowMillis += SECOND_MILLIS;
     tickDispatcher();
     assertFalse(isRenewed(worker), "it has sent no heartbeat since");
-    heartbeat(worker, 2);
+    leader.directory.recordHeartbeat(LeaderFixture.heartbeat(worker, "idle", 2), leader.nowMillis);
     tickDispatcher();
     assertTrue(isRenewed(worker), "a heartbeat may prove that it is alive");
     tickDispatcher();
@@ -142,23 +142,6 @@
         .anyMatch(a -> a instanceof Action.Renew r && r.target().life().worker().equals(worker));
   }
 
-  private void heartbeat(String worker, long sequence) {
-    WorkerHeartbeat known = leader.directory.find(worker).orElseThrow();
-    leader.directory.recordHeartbeat(
-        new WorkerHeartbeat(
-            known.life(),
-            sequence,
-            known.service(),
-            known.address(),
-            known.dataCenter(),
-            known.phase(),
-            known.remainingMillis(),
-            known.capacity(),
-            known.labels(),
-            known.machine()),
-        leader.nowMillis);
-  }
-
   /** Submits work that lacks the given number of machines, and applies the orders for them. */
   private List<MachineOrder> ordersForBusyPool(int machines) {
     leader.submit("b", "busy", LeaderFixture.step(16 + 16 * machines, 1_000).build());
@@ -196,14 +179,7 @@
   }
 
   private List<MachineOrder> ordered() {
-    List<MachineOrder> orders = new ArrayList<>();
-    for (Action action : actions) {
-      if (action instanceof Action.Propose propose
-          && propose.command() instanceof JobCommand.OrderMachine order) {
-        orders.add(order.order());
-      }
-    }
-    return orders;
+    return LeaderFixture.ordersIn(actions);
   }
 
   private void apply(JobCommand command) {
--- a/core/src/test/java/org/plantainknot/core/schedule/UnheardWorkerTest.java
+++ b/core/src/test/java/org/plantainknot/core/schedule/UnheardWorkerTest.java
@@ -153,23 +153,11 @@
   /** Sends a worker's heartbeat and its report of the run that is at work on it. */
   private void checkIn(String worker) {
     leader.nowMillis += STEP_MILLIS;
-    WorkerIncarnation incarnation = new WorkerIncarnation(worker, 1);
-    WorkerHeartbeat heartbeat =
-        new WorkerHeartbeat(
-            incarnation,
-            1,
-            "s",
-            worker + ":1",
-            "dc",
-            WorkerPhase.READY,
-            0,
-            LeaderFixture.MACHINE,
-            List.of("a", "r1"),
-            "m-" + worker);
+    WorkerHeartbeat heartbeat = LeaderFixture.heartbeat(worker, "s", 1);
     leader.directory.recordHeartbeat(heartbeat, leader.nowMillis);
     RunId run = new RunId(new TaskId("j", 0, 0, Integer.parseInt(worker.substring(1))), 1);
     dispatcher.renewed(
-        new WorkerTarget(incarnation, heartbeat.address()),
+        new WorkerTarget(heartbeat.life(), heartbeat.address()),
         leader.nowMillis,
         WorkerReport.complete(
             1, leader.nowMillis, List.of(new ListedRun(run, "", 100, 0)), List.of()),
@@ -226,13 +214,6 @@
   }
 
   private List<MachineOrder> ordered() {
-    List<MachineOrder> orders = new ArrayList<>();
-    for (Action action : actions) {
-      if (action instanceof Action.Propose propose
-          && propose.command() instanceof JobCommand.OrderMachine order) {
-        orders.add(order.order());
-      }
-    }
-    return orders;
+    return LeaderFixture.ordersIn(actions);
   }
 }
